--- a/internal/cli/command/serve.go
+++ b/internal/cli/command/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -65,16 +64,17 @@
 	if f.logLevel != "" {
 		s.Telemetry.LogLevel = f.logLevel
 	}
-	n, err := assembly.New(s, streams.Err)
-	if err != nil {
-		return err
-	}
+	var opts []assembly.Option
 	if f.tables != "" {
-		doc, err := loadTables(f.tables)
+		document, err := loadTables(f.tables)
 		if err != nil {
 			return err
 		}
-		n.SetTables(doc)
+		opts = append(opts, assembly.WithInitialTables(document))
+	}
+	n, err := assembly.New(s, streams.Err, opts...)
+	if err != nil {
+		return err
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -82,7 +82,13 @@
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	<-signals
+	select {
+	case <-signals:
+	case <-n.DrainAsked():
+	case err := <-n.Failed():
+		n.Stop()
+		return fmt.Errorf("the data folder may not be trusted any more: %w", err)
+	}
 	return drainUntilSignal(ctx, streams, n, signals)
 }
 
@@ -102,15 +108,13 @@
 }
 
 // loadTables reads and checks a tables file.
-func loadTables(file string) (*tables.Document, error) {
+func loadTables(file string) ([]byte, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, exit(ExitInvalid, fmt.Errorf("read tables: %w", err))
 	}
-	doc, err := tables.Parse(data)
-	var invalid *tables.InvalidError
-	if errors.As(err, &invalid) {
+	if _, err := tables.Parse(data); err != nil {
 		return nil, exit(ExitInvalid, fmt.Errorf("%s: %w", file, err))
 	}
-	return doc, err
+	return data, nil
 }
--- /dev/null
+++ b/internal/control/client/client.go
@@ -0,0 +1,243 @@
+// Package client reaches the leader of the control state from any VM, through
+// changes of leader and lost replies. Every command that it sends again is
+// idempotent by its change identifier or its run.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/fault"
+	"github.com/jasminecove/jasminecove/internal/control/replica"
+	"github.com/jasminecove/jasminecove/internal/control/state"
+	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// ErrUnavailable reports that no leader answered before the deadline.
+const ErrUnavailable = fault.Sentinel("client: no leader of the control state answered")
+
+// Spans of a call.
+const (
+	// tryTimeout bounds one try, so that a call to a VM that was cut off is given
+	// up for another.
+	tryTimeout = 1 * time.Second
+	firstPause = 5 * time.Millisecond
+	maxPause   = 200 * time.Millisecond
+	// DefaultTimeout bounds a call whose context has no deadline.
+	DefaultTimeout = 10 * time.Second
+)
+
+// Fleet carries calls to other VMs.
+type Fleet interface {
+	// Call asks a VM by name.
+	Call(ctx context.Context, vm string, c *fleetpb.Call) (*fleetpb.Reply, error)
+	// Replicas names the VMs that have a replica, as far as is known.
+	Replicas() []string
+}
+
+// Client is a VM's way to the leader.
+type Client struct {
+	vm    string
+	clock clock.Clock
+	local *replica.Replica // Nil on a VM without a replica.
+	fleet Fleet
+	hint  atomic.Value // VM that is thought to lead, a string.
+}
+
+// New returns a client. local is the VM's own replica or nil.
+func New(vm string, clk clock.Clock, local *replica.Replica, fleet Fleet) *Client {
+	c := &Client{vm: vm, clock: clk, local: local, fleet: fleet}
+	c.hint.Store("")
+	return c
+}
+
+// Propose commits a command.
+func (c *Client) Propose(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.Result, error) {
+	cmd.AtMs = int64(c.clock.Now())
+	reply, err := c.call(ctx, &fleetpb.Call{From: c.vm, Body: &fleetpb.Call_Propose{Propose: cmd}})
+	return reply.GetResult(), err
+}
+
+// Read answers a linearizable read.
+func (c *Client) Read(ctx context.Context, r *fleetpb.ReadState) (*fleetpb.Reply, error) {
+	return c.call(ctx, &fleetpb.Call{From: c.vm, Body: &fleetpb.Call_Read{Read: r}})
+}
+
+// Join asks the leader to add a replica to the group.
+func (c *Client) Join(ctx context.Context, j *fleetpb.Join) error {
+	_, err := c.call(ctx, &fleetpb.Call{From: c.vm, Body: &fleetpb.Call_Join{Join: j}})
+	return err
+}
+
+// Claim implements filter.Claims.
+func (c *Client) Claim(ctx context.Context, b *fleetpb.ClaimBooking) (*fleetpb.Result, error) {
+	b.Owner = c.vm
+	return c.Propose(ctx, &fleetpb.Command{Body: &fleetpb.Command_Claim{Claim: b}})
+}
+
+// Settle implements filter.Claims.
+func (c *Client) Settle(ctx context.Context, s *fleetpb.SettleClaim) error {
+	_, err := c.Propose(ctx, &fleetpb.Command{Body: &fleetpb.Command_Settle{Settle: s}})
+	return err
+}
+
+// Lookup implements filter.Claims.
+func (c *Client) Lookup(ctx context.Context, key string) (*fleetpb.ClaimRecord, error) {
+	reply, err := c.Read(ctx, &fleetpb.ReadState{ClaimKey: key})
+	return reply.GetClaim(), err
+}
+
+// call tries VMs until one that leads has answered.
+func (c *Client) call(ctx context.Context, call *fleetpb.Call) (*fleetpb.Reply, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
+		defer cancel()
+	}
+	pause := firstPause
+	var last error
+	for try := 0; ; try++ {
+		vm := c.choose(try)
+		reply, err := c.ask(ctx, vm, call)
+		switch {
+		case err == nil && reply.Code == fleetpb.Reply_OK:
+			c.hint.Store(vm)
+			return reply, nil
+		case err == nil && reply.Code == fleetpb.Reply_REFUSED:
+			return nil, &RefusedError{Detail: reply.Detail}
+		case err == nil && reply.Code == fleetpb.Reply_NOT_LEADER && reply.Leader != "" && reply.Leader != vm:
+			c.hint.Store(reply.Leader)
+			if try%2 == 0 {
+				continue
+			}
+		default:
+			c.hint.Store("")
+		}
+		if err != nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(ErrUnavailable, last)
+		case <-time.After(pause):
+			pause = min(maxPause, pause*2)
+		}
+	}
+}
+
+// choose returns the VM to try: the one that is thought to lead, then all that
+// have a replica in turn.
+func (c *Client) choose(try int) string {
+	if hint := c.hint.Load().(string); hint != "" {
+		return hint
+	}
+	vms := c.fleet.Replicas()
+	if len(vms) == 0 {
+		return c.vm
+	}
+	return vms[try%len(vms)]
+}
+
+func (c *Client) ask(ctx context.Context, vm string, call *fleetpb.Call) (*fleetpb.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if vm == c.vm {
+		return Serve(ctx, c.local, call), nil
+	}
+	return c.fleet.Call(ctx, vm, call)
+}
+
+// RefusedError reports a call that the leader understood and refused.
+type RefusedError struct {
+	Detail string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "client: refused: " + e.Detail }
+
+// Serve answers a call to the control state on the VM of a replica, which may be
+// nil.
+func Serve(ctx context.Context, r *replica.Replica, call *fleetpb.Call) *fleetpb.Reply {
+	if r == nil {
+		return &fleetpb.Reply{Code: fleetpb.Reply_NOT_LEADER}
+	}
+	switch b := call.Body.(type) {
+	case *fleetpb.Call_Propose:
+		return servePropose(ctx, r, b.Propose)
+	case *fleetpb.Call_Read:
+		return serveRead(ctx, r, b.Read)
+	case *fleetpb.Call_Join:
+		return serveJoin(r, b.Join)
+	}
+	return &fleetpb.Reply{Code: fleetpb.Reply_REFUSED, Detail: fmt.Sprintf("unknown call %T", call.Body)}
+}
+
+func servePropose(ctx context.Context, r *replica.Replica, cmd *fleetpb.Command) *fleetpb.Reply {
+	// Tables are checked before they are committed, so that replicas of
+	// different versions never judge one document differently.
+	if a := cmd.GetApply(); a != nil {
+		if _, err := tables.Parse(a.Document); err != nil {
+			return &fleetpb.Reply{Result: &fleetpb.Result{Code: fleetpb.Result_INVALID, Detail: err.Error()}}
+		}
+	}
+	result, err := r.Propose(ctx, cmd)
+	if err != nil {
+		return failure(err)
+	}
+	return &fleetpb.Reply{Result: result}
+}
+
+func serveRead(ctx context.Context, r *replica.Replica, rd *fleetpb.ReadState) *fleetpb.Reply {
+	reply := &fleetpb.Reply{}
+	err := r.Read(ctx, func(s *state.State) {
+		if rd.ClaimKey != "" {
+			reply.Claim = s.Claim(rd.ClaimKey)
+		}
+		if rd.Tables {
+			reply.State = &fleetpb.RevisionNotice{Number: s.Revision().GetNumber(), Revision: s.Revision()}
+		}
+		if rd.Revision > 0 {
+			past, ok := s.RevisionAt(rd.Revision)
+			if !ok {
+				reply.Code, reply.Detail = fleetpb.Reply_REFUSED, "the revision is not kept"
+				return
+			}
+			reply.State = &fleetpb.RevisionNotice{Number: past.Number, Revision: past}
+		}
+		if rd.History {
+			reply.History = s.History()
+		}
+	})
+	if err != nil {
+		return failure(err)
+	}
+	return reply
+}
+
+// serveJoin takes a join at the leader.
+func serveJoin(r *replica.Replica, j *fleetpb.Join) *fleetpb.Reply {
+	st := r.Status()
+	if st.Role != "leader" {
+		return &fleetpb.Reply{Code: fleetpb.Reply_NOT_LEADER, Leader: st.Leader}
+	}
+	if j.Replica != nil {
+		r.Join(j.Replica)
+	}
+	if j.Remove != "" {
+		r.Retire(j.Remove)
+	}
+	return &fleetpb.Reply{}
+}
+
+func failure(err error) *fleetpb.Reply {
+	var notLeader *replica.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return &fleetpb.Reply{Code: fleetpb.Reply_NOT_LEADER, Leader: notLeader.Leader, Detail: err.Error()}
+	}
+	return &fleetpb.Reply{Code: fleetpb.Reply_UNAVAILABLE, Detail: err.Error()}
+}
--- /dev/null
+++ b/internal/control/journal/journal.go
@@ -0,0 +1,310 @@
+// Package journal keeps a replica's durable state in one data folder: a file of
+// checksummed records and a snapshot. A record counts only after the file was
+// synced. After a failed write or sync nothing more is accepted, because the
+// page cache cannot be trusted any more; the process must start again.
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminecove/jasminecove/internal/base/fault"
+	"github.com/jasminecove/jasminecove/internal/control/raft"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Failures of a journal.
+const (
+	ErrLocked    = fault.Sentinel("journal: another process uses the data folder")
+	ErrPoisoned  = fault.Sentinel("journal: an earlier write failed")
+	ErrHalfThere = fault.Sentinel("journal: the data folder has a snapshot but no journal")
+)
+
+// Names in the data folder.
+const (
+	journalFile  = "journal"
+	snapshotFile = "snapshot"
+	lockFile     = "lock"
+	newSuffix    = ".new"
+)
+
+// DamageError reports damage that no crash explains.
+type DamageError struct {
+	File   string
+	Offset int64
+}
+
+// Error implements error.
+func (e *DamageError) Error() string {
+	return fmt.Sprintf("journal: file %s is damaged at offset %d", e.File, e.Offset)
+}
+
+// WriteError reports a write or sync that failed, for example on a full disk.
+type WriteError struct {
+	Step string
+	Err  error
+}
+
+// Error implements error.
+func (e *WriteError) Error() string { return fmt.Sprintf("journal: %s: %v", e.Step, e.Err) }
+
+// Unwrap returns the system's error.
+func (e *WriteError) Unwrap() error { return e.Err }
+
+// Journal is an open data folder. It is not safe for concurrent use, but for
+// SaveSnapshot.
+type Journal struct {
+	disk     Disk
+	unlock   io.Closer
+	file     File
+	identity *fleetpb.Identity
+	poisoned atomic.Bool
+	buf      []byte
+	records  int
+}
+
+// Loaded is what a data folder held.
+type Loaded struct {
+	Identity *fleetpb.Identity // Nil when the folder was empty.
+	Durable  raft.Durable
+	CutBytes int // Size of a torn tail that was cut off.
+}
+
+// Open locks the folder and reads it. An empty folder gives an empty Loaded;
+// Begin must follow.
+func Open(disk Disk) (*Journal, Loaded, error) {
+	unlock, err := disk.Lock()
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	j := &Journal{disk: disk, unlock: unlock}
+	loaded, err := j.load()
+	if err != nil {
+		return nil, Loaded{}, errors.Join(err, unlock.Close())
+	}
+	return j, loaded, nil
+}
+
+func (j *Journal) load() (Loaded, error) {
+	var loaded Loaded
+	snapshot, hasSnapshot, err := j.readSnapshot()
+	if err != nil {
+		return loaded, err
+	}
+	data, err := j.disk.ReadFile(journalFile)
+	if errors.Is(err, os.ErrNotExist) {
+		if hasSnapshot {
+			return loaded, ErrHalfThere
+		}
+		return loaded, nil
+	}
+	if err != nil {
+		return loaded, fmt.Errorf("read journal: %w", err)
+	}
+	loaded.Durable.Snapshot = snapshot
+	if err := j.replay(data, &loaded); err != nil {
+		return loaded, err
+	}
+	j.identity = loaded.Identity
+	return loaded, j.reopen(int64(len(data) - loaded.CutBytes))
+}
+
+// reopen continues the journal after its sound part.
+func (j *Journal) reopen(size int64) error {
+	file, err := j.disk.Append(journalFile)
+	if err != nil {
+		return &WriteError{Step: "open", Err: err}
+	}
+	if err := file.Truncate(size); err != nil {
+		return errors.Join(&WriteError{Step: "cut torn tail", Err: err}, file.Close())
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Join(&WriteError{Step: "sync", Err: err}, file.Close())
+	}
+	j.file = file
+	return nil
+}
+
+func (j *Journal) readSnapshot() (raft.Snapshot, bool, error) {
+	data, err := j.disk.ReadFile(snapshotFile)
+	if errors.Is(err, os.ErrNotExist) {
+		return raft.Snapshot{}, false, nil
+	}
+	if err != nil {
+		return raft.Snapshot{}, false, fmt.Errorf("read snapshot: %w", err)
+	}
+	payload, size, ok := readRecord(data)
+	var m fleetpb.SnapshotFile
+	if !ok || size != len(data) || proto.Unmarshal(payload, &m) != nil {
+		return raft.Snapshot{}, false, &DamageError{File: snapshotFile}
+	}
+	return raft.Snapshot{Index: m.Index, Term: m.Term, Membership: m.Membership, State: m.State}, true, nil
+}
+
+// replay rebuilds the durable state from the journal's records.
+func (j *Journal) replay(data []byte, loaded *Loaded) error {
+	payloads, good, damage := splitRecords(data)
+	if damage >= 0 {
+		return &DamageError{File: journalFile, Offset: damage}
+	}
+	loaded.CutBytes = len(data) - good
+	j.records = len(payloads)
+	for _, payload := range payloads {
+		var r fleetpb.JournalRecord
+		if err := proto.Unmarshal(payload, &r); err != nil {
+			return &DamageError{File: journalFile, Offset: int64(good)}
+		}
+		loaded.take(&r)
+	}
+	if loaded.Identity == nil {
+		// The first record names the replica; without it nothing may be trusted.
+		return &DamageError{File: journalFile}
+	}
+	return nil
+}
+
+// take applies one record.
+func (l *Loaded) take(r *fleetpb.JournalRecord) {
+	if r.Identity != nil {
+		l.Identity = r.Identity
+	}
+	if r.Hard != nil {
+		l.Durable.Hard = r.Hard
+	}
+	if r.Cut > 0 {
+		l.cut(r.Cut)
+	}
+	for _, e := range r.Entries {
+		if e.Index <= l.Durable.Snapshot.Index {
+			continue
+		}
+		l.cut(e.Index)
+		l.Durable.Entries = append(l.Durable.Entries, e)
+	}
+}
+
+func (l *Loaded) cut(index uint64) {
+	entries := l.Durable.Entries
+	for len(entries) > 0 && entries[len(entries)-1].Index >= index {
+		entries = entries[:len(entries)-1]
+	}
+	l.Durable.Entries = entries
+}
+
+// Begin starts an empty folder under an identity.
+func (j *Journal) Begin(identity *fleetpb.Identity, d raft.Durable) error {
+	j.identity = identity
+	return j.Rewrite(d)
+}
+
+// Append makes one update durable.
+func (j *Journal) Append(hard *fleetpb.HardState, cut uint64, entries []*fleetpb.Entry) error {
+	if j.poisoned.Load() {
+		return ErrPoisoned
+	}
+	payload, err := proto.MarshalOptions{}.MarshalAppend(nil, &fleetpb.JournalRecord{Hard: hard, Cut: cut, Entries: entries})
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	j.buf = appendRecord(j.buf[:0], payload)
+	if _, err := j.file.Write(j.buf); err != nil {
+		return j.poison("write", err)
+	}
+	if err := j.file.Sync(); err != nil {
+		return j.poison("sync", err)
+	}
+	j.records++
+	return nil
+}
+
+// Records returns the number of records since the last Rewrite.
+func (j *Journal) Records() int { return j.records }
+
+// SaveSnapshot stores a snapshot in place of an older one. It may run while
+// Append does: until Reset the journal holds entries that the snapshot covers,
+// which Open skips.
+func (j *Journal) SaveSnapshot(s raft.Snapshot) error {
+	if j.poisoned.Load() {
+		return ErrPoisoned
+	}
+	payload, err := proto.Marshal(&fleetpb.SnapshotFile{Index: s.Index, Term: s.Term, Membership: s.Membership, State: s.State})
+	if err != nil {
+		return fmt.Errorf("encode snapshot: %w", err)
+	}
+	file, err := j.replaceFile(snapshotFile, payload)
+	if err != nil {
+		return err
+	}
+	return file.Close()
+}
+
+// Reset starts a new journal with what follows the saved snapshot.
+func (j *Journal) Reset(hard *fleetpb.HardState, entries []*fleetpb.Entry) error {
+	if j.poisoned.Load() {
+		return ErrPoisoned
+	}
+	payload, err := proto.Marshal(&fleetpb.JournalRecord{Identity: j.identity, Hard: hard, Entries: entries})
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	file, err := j.replaceFile(journalFile, payload)
+	if err != nil {
+		return err
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	j.file, j.records = file, 1
+	return nil
+}
+
+// Rewrite stores a snapshot and a journal that holds only what follows it.
+func (j *Journal) Rewrite(d raft.Durable) error {
+	if d.Snapshot.Index > 0 {
+		if err := j.SaveSnapshot(d.Snapshot); err != nil {
+			return err
+		}
+	}
+	return j.Reset(d.Hard, d.Entries)
+}
+
+// replaceFile writes a file of one record, syncs it, and puts it in place. It
+// returns the file, open at its end.
+func (j *Journal) replaceFile(name string, payload []byte) (File, error) {
+	file, err := j.disk.Create(name + newSuffix)
+	if err != nil {
+		return nil, j.poison("create", err)
+	}
+	if _, err := file.Write(appendRecord(nil, payload)); err != nil {
+		return nil, errors.Join(j.poison("write", err), file.Close())
+	}
+	if err := file.Sync(); err != nil {
+		return nil, errors.Join(j.poison("sync", err), file.Close())
+	}
+	if err := j.disk.Rename(name+newSuffix, name); err != nil {
+		return nil, errors.Join(j.poison("rename", err), file.Close())
+	}
+	if err := j.disk.SyncFolder(); err != nil {
+		return nil, errors.Join(j.poison("sync folder", err), file.Close())
+	}
+	return file, nil
+}
+
+func (j *Journal) poison(step string, err error) error {
+	j.poisoned.Store(true)
+	return &WriteError{Step: step, Err: err}
+}
+
+// Close ends the use of the folder.
+func (j *Journal) Close() error {
+	var err error
+	if j.file != nil {
+		err = j.file.Close()
+	}
+	return errors.Join(err, j.unlock.Close())
+}
--- /dev/null
+++ b/internal/control/journal/journal_test.go
@@ -0,0 +1,214 @@
+package journal_test
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/fault"
+	"github.com/jasminecove/jasminecove/internal/control/journal"
+	"github.com/jasminecove/jasminecove/internal/control/raft"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+const errDisk = fault.Sentinel("no space left on device")
+
+// faulty is a Disk whose writes or syncs fail.
+type faulty struct {
+	journal.Disk
+	failWrite bool
+	failSync  bool
+}
+
+type faultyFile struct {
+	journal.File
+	d *faulty
+}
+
+func (d *faulty) wrap(f journal.File, err error) (journal.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &faultyFile{f, d}, nil
+}
+
+func (d *faulty) Create(name string) (journal.File, error) { return d.wrap(d.Disk.Create(name)) }
+func (d *faulty) Append(name string) (journal.File, error) { return d.wrap(d.Disk.Append(name)) }
+
+func (f *faultyFile) Write(p []byte) (int, error) {
+	if f.d.failWrite {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, errDisk
+	}
+	return f.File.Write(p)
+}
+
+func (f *faultyFile) Sync() error {
+	if f.d.failSync {
+		return errDisk
+	}
+	return f.File.Sync()
+}
+
+func entry(i uint64) *fleetpb.Entry {
+	return &fleetpb.Entry{Index: i, Term: 1, Command: []byte{byte(i), 2, 3}}
+}
+
+func folder(t *testing.T) (string, *faulty) {
+	t.Helper()
+	dir := t.TempDir()
+	d, err := journal.Folder(dir)
+	assert.NilError(t, err)
+	return dir, &faulty{Disk: d}
+}
+
+func begin(t *testing.T, d journal.Disk) *journal.Journal {
+	t.Helper()
+	j, loaded, err := journal.Open(d)
+	assert.NilError(t, err)
+	assert.Assert(t, loaded.Identity == nil)
+	assert.NilError(t, j.Begin(&fleetpb.Identity{Id: "a-1", Vm: "a"}, raft.Bootstrap([]*fleetpb.Replica{{Id: "a-1", Vm: "a"}})))
+	return j
+}
+
+func reload(t *testing.T, d journal.Disk) journal.Loaded {
+	t.Helper()
+	j, loaded, err := journal.Open(d)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Close())
+	return loaded
+}
+
+func TestWhatWasSyncedComesBack(t *testing.T) {
+	_, d := folder(t)
+	j := begin(t, d)
+	assert.NilError(t, j.Append(&fleetpb.HardState{Term: 3, Vote: "b"}, 0, []*fleetpb.Entry{entry(2), entry(3), entry(4)}))
+	assert.NilError(t, j.Append(nil, 4, []*fleetpb.Entry{{Index: 4, Term: 3}}))
+	assert.NilError(t, j.Close())
+	l := reload(t, d)
+	assert.Equal(t, l.Identity.Id, "a-1")
+	assert.Equal(t, l.Durable.Hard.Term, uint64(3))
+	assert.Equal(t, len(l.Durable.Entries), 3)
+	assert.Equal(t, l.Durable.Entries[2].Term, uint64(3))
+	assert.Equal(t, l.Durable.Snapshot.Index, uint64(1))
+}
+
+func TestTornTailIsCutAtEveryByte(t *testing.T) {
+	dir, d := folder(t)
+	j := begin(t, d)
+	assert.NilError(t, j.Append(nil, 0, []*fleetpb.Entry{entry(2)}))
+	file := filepath.Join(dir, "journal")
+	before, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Append(nil, 0, []*fleetpb.Entry{entry(3)}))
+	assert.NilError(t, j.Close())
+	whole, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for size := len(before); size < len(whole); size++ {
+		assert.NilError(t, os.WriteFile(file, whole[:size], 0o600))
+		l := reload(t, d)
+		assert.Equal(t, len(l.Durable.Entries), 1, "cut at %d", size)
+		assert.Equal(t, l.CutBytes, size-len(before))
+	}
+}
+
+func TestDamageInTheMiddleIsRefused(t *testing.T) {
+	dir, d := folder(t)
+	j := begin(t, d)
+	for i := uint64(2); i < 6; i++ {
+		assert.NilError(t, j.Append(nil, 0, []*fleetpb.Entry{entry(i)}))
+	}
+	assert.NilError(t, j.Close())
+	file := filepath.Join(dir, "journal")
+	whole, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for at := 0; at < len(whole)-30; at++ {
+		bad := append([]byte(nil), whole...)
+		bad[at] ^= 0x40
+		assert.NilError(t, os.WriteFile(file, bad, 0o600))
+		_, _, err := journal.Open(d)
+		var damage *journal.DamageError
+		assert.Assert(t, errors.As(err, &damage), "byte %d: %v", at, err)
+		assert.Equal(t, damage.File, "journal")
+	}
+}
+
+func TestFailedWriteOrSyncEndsTheJournal(t *testing.T) {
+	for _, set := range []func(*faulty){func(d *faulty) { d.failWrite = true }, func(d *faulty) { d.failSync = true }} {
+		_, d := folder(t)
+		j := begin(t, d)
+		set(d)
+		err := j.Append(nil, 0, []*fleetpb.Entry{entry(2)})
+		var write *journal.WriteError
+		assert.Assert(t, errors.As(err, &write))
+		assert.ErrorIs(t, err, errDisk)
+		d.failWrite, d.failSync = false, false
+		assert.ErrorIs(t, j.Append(nil, 0, []*fleetpb.Entry{entry(2)}), journal.ErrPoisoned)
+		assert.NilError(t, j.Close())
+	}
+}
+
+func TestSnapshotReplacesTheJournal(t *testing.T) {
+	dir, d := folder(t)
+	j := begin(t, d)
+	for i := uint64(2); i < 100; i++ {
+		assert.NilError(t, j.Append(nil, 0, []*fleetpb.Entry{entry(i)}))
+	}
+	s := raft.Snapshot{Index: 98, Term: 1, State: []byte("state")}
+	assert.NilError(t, j.Rewrite(raft.Durable{Hard: &fleetpb.HardState{Term: 1}, Snapshot: s, Entries: []*fleetpb.Entry{entry(99)}}))
+	assert.NilError(t, j.Append(nil, 0, []*fleetpb.Entry{entry(100)}))
+	assert.NilError(t, j.Close())
+	l := reload(t, d)
+	assert.Equal(t, string(l.Durable.Snapshot.State), "state")
+	assert.Equal(t, len(l.Durable.Entries), 2)
+	assert.NilError(t, os.Remove(filepath.Join(dir, "journal")))
+	_, _, err := journal.Open(d)
+	assert.ErrorIs(t, err, journal.ErrHalfThere)
+}
+
+func TestCrashBetweenSnapshotAndJournalLosesNothing(t *testing.T) {
+	dir, d := folder(t)
+	j := begin(t, d)
+	for i := uint64(2); i < 10; i++ {
+		assert.NilError(t, j.Append(nil, 0, []*fleetpb.Entry{entry(i)}))
+	}
+	old, err := os.ReadFile(filepath.Join(dir, "journal"))
+	assert.NilError(t, err)
+	s := raft.Snapshot{Index: 5, Term: 1, State: []byte("state")}
+	assert.NilError(t, j.Rewrite(raft.Durable{Snapshot: s}))
+	assert.NilError(t, j.Close())
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "journal"), old, 0o600))
+	l := reload(t, d)
+	assert.Equal(t, l.Durable.Snapshot.Index, uint64(5))
+	assert.Equal(t, len(l.Durable.Entries), 4)
+	assert.Equal(t, l.Durable.Entries[0].Index, uint64(6))
+}
+
+func TestTwoProcessesOnOneFolder(t *testing.T) {
+	_, d := folder(t)
+	j := begin(t, d)
+	defer func() { assert.NilError(t, j.Close()) }()
+	_, _, err := journal.Open(d)
+	assert.ErrorIs(t, err, journal.ErrLocked)
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{3, 0, 0, 0, 1, 2, 3, 4, 5, 6, 7})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		dir := t.TempDir()
+		d, err := journal.Folder(dir)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, "journal"), data, 0o600))
+		j, _, err := journal.Open(d)
+		if err == nil {
+			assert.NilError(t, j.Close())
+		}
+	})
+}
+
+var _ io.Closer = (*journal.Journal)(nil)
--- /dev/null
+++ b/internal/control/journal/lock_unix.go
@@ -0,0 +1,13 @@
+//go:build unix
+
+package journal
+
+import (
+	"os"
+	"syscall"
+)
+
+// lock takes an exclusive lock that ends with the process.
+func lock(f *os.File) error {
+	return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+}
--- /dev/null
+++ b/internal/control/journal/record.go
@@ -0,0 +1,62 @@
+package journal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// A record is its payload's size and checksum, each 4 bytes in little endian,
+// and the payload.
+const (
+	headerBytes = 8
+	// maxRecordBytes bounds a record, so that a damaged size is recognised.
+	maxRecordBytes = 64 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendRecord adds a record to buf.
+func appendRecord(buf, payload []byte) []byte {
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
+	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(payload, castagnoli))
+	return append(buf, payload...)
+}
+
+// readRecord returns the payload of the record at the start of data and the
+// record's size. ok is false when there is no whole and sound record.
+func readRecord(data []byte) (payload []byte, size int, ok bool) {
+	if len(data) < headerBytes {
+		return nil, 0, false
+	}
+	n := int(binary.LittleEndian.Uint32(data))
+	if n == 0 || n > maxRecordBytes || headerBytes+n > len(data) {
+		return nil, 0, false
+	}
+	payload = data[headerBytes : headerBytes+n]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+		return nil, 0, false
+	}
+	return payload, headerBytes + n, true
+}
+
+// splitRecords returns the payloads of all sound records and the size of the
+// part that they fill. A write that was cut off by a crash leaves an unsound tail
+// with nothing sound after it, because each write is one record and waits for
+// the one before. A sound record after an unsound one means damage, whose offset
+// is returned.
+func splitRecords(data []byte) (payloads [][]byte, good int, damage int64) {
+	for good < len(data) {
+		payload, size, ok := readRecord(data[good:])
+		if !ok {
+			break
+		}
+		payloads = append(payloads, payload)
+		good += size
+	}
+	for at := good + 1; at+headerBytes <= len(data); at++ {
+		if _, _, ok := readRecord(data[at:]); ok {
+			return payloads, good, int64(good)
+		}
+	}
+	return payloads, good, -1
+}
--- /dev/null
+++ b/internal/control/raft/elect.go
@@ -0,0 +1,127 @@
+package raft
+
+import (
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// isVoter reports whether a replica votes under the newest membership.
+func (c *Core) isVoter(id string) bool {
+	for _, v := range c.members.GetVoters() {
+		if v.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// quorum returns the number of voters that make a majority.
+func (c *Core) quorum() int { return len(c.members.GetVoters())/2 + 1 }
+
+// preCampaign asks whether an election could be won, without a new term, so that
+// a replica that was cut off does not disturb a working leader.
+func (c *Core) preCampaign(now clock.Time) {
+	c.resetElection(now)
+	if !c.isVoter(c.id) {
+		return
+	}
+	c.role = PreCandidate
+	c.leader = ""
+	c.votes = map[string]bool{c.id: true}
+	if c.won() {
+		c.campaign(now, false)
+		return
+	}
+	for _, v := range c.members.Voters {
+		if v.Id != c.id {
+			m := c.ballot(fleetpb.RaftMessage_PRE_VOTE, v.Id)
+			c.send(m)
+			m.Term = c.term + 1
+		}
+	}
+}
+
+// campaign starts an election in a new term.
+func (c *Core) campaign(now clock.Time, transfer bool) {
+	if !c.isVoter(c.id) {
+		return
+	}
+	c.role = Candidate
+	c.leader = ""
+	c.term++
+	c.vote = c.id
+	c.saveHard()
+	c.resetElection(now)
+	c.votes = map[string]bool{c.id: true}
+	if c.won() {
+		c.becomeLeader(now)
+		return
+	}
+	for _, v := range c.members.Voters {
+		if v.Id != c.id {
+			m := c.ballot(fleetpb.RaftMessage_VOTE, v.Id)
+			m.Transfer = transfer
+			c.sendSynced(m)
+		}
+	}
+}
+
+func (c *Core) ballot(kind fleetpb.RaftMessage_Kind, to string) *fleetpb.RaftMessage {
+	return &fleetpb.RaftMessage{Kind: kind, To: to, LogIndex: c.log.lastIndex(), LogTerm: c.log.lastTerm()}
+}
+
+func (c *Core) onPreVote(now clock.Time, m *fleetpb.RaftMessage) {
+	grant := m.Term > c.term && !c.promised(now) && c.log.upToDate(m.LogIndex, m.LogTerm)
+	reply := &fleetpb.RaftMessage{Kind: fleetpb.RaftMessage_PRE_VOTE_REPLY, To: m.From, Reject: !grant}
+	c.send(reply)
+	if grant {
+		reply.Term = m.Term
+	}
+}
+
+func (c *Core) onPreVoteReply(now clock.Time, m *fleetpb.RaftMessage) {
+	if m.Reject {
+		if m.Term > c.term {
+			c.becomeFollower(now, m.Term, "")
+		}
+		return
+	}
+	if c.role != PreCandidate || m.Term != c.term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	if c.won() {
+		c.campaign(now, false)
+	}
+}
+
+func (c *Core) onVote(now clock.Time, m *fleetpb.RaftMessage) {
+	grant := (c.vote == "" || c.vote == m.From) && c.role != Leader && c.log.upToDate(m.LogIndex, m.LogTerm)
+	if grant {
+		c.vote = m.From
+		c.saveHard()
+		c.resetElection(now)
+	}
+	c.sendSynced(&fleetpb.RaftMessage{Kind: fleetpb.RaftMessage_VOTE_REPLY, To: m.From, Reject: !grant})
+}
+
+func (c *Core) onVoteReply(now clock.Time, m *fleetpb.RaftMessage) {
+	if c.role != Candidate || m.Reject {
+		return
+	}
+	c.votes[m.From] = true
+	if c.won() {
+		c.becomeLeader(now)
+	}
+}
+
+// won reports whether a majority of the voters agreed.
+func (c *Core) won() bool {
+	n := 0
+	for _, v := range c.members.Voters {
+		if c.votes[v.Id] {
+			n++
+		}
+	}
+	return n >= c.quorum()
+}
--- /dev/null
+++ b/internal/control/raft/follow.go
@@ -0,0 +1,84 @@
+package raft
+
+import (
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/invariant"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// onAppend takes entries or a heartbeat from the leader of the term.
+func (c *Core) onAppend(now clock.Time, m *fleetpb.RaftMessage) {
+	if !c.followLeader(now, m) {
+		return
+	}
+	reply := &fleetpb.RaftMessage{Kind: fleetpb.RaftMessage_APPEND_REPLY, To: m.From, Round: m.Round}
+	if t, ok := c.log.term(m.LogIndex); m.LogIndex >= c.log.first && (!ok || t != m.LogTerm) {
+		reply.Reject = true
+		reply.Hint = c.hint(m.LogIndex)
+		c.sendSynced(reply)
+		return
+	}
+	last := c.store(m)
+	if last < m.LogIndex {
+		last = m.LogIndex
+	}
+	c.commit = max(c.commit, min(m.Commit, last))
+	reply.LogIndex = last
+	c.sendSynced(reply)
+}
+
+// followLeader accepts the sender as the leader of the term.
+func (c *Core) followLeader(now clock.Time, m *fleetpb.RaftMessage) bool {
+	if !invariant.Check(c.sink, c.role != Leader, "oneLeaderATerm", "%s and %s lead term %d", c.id, m.From, c.term) {
+		return false
+	}
+	if c.role != Follower {
+		c.role = Follower
+	}
+	c.leader = m.From
+	c.heardAt = now
+	c.resetElection(now)
+	return true
+}
+
+// hint returns the newest index at which the logs may agree.
+func (c *Core) hint(index uint64) uint64 {
+	if index > c.log.lastIndex() {
+		return c.log.lastIndex()
+	}
+	return max(index-1, c.log.first)
+}
+
+// store adds a message's entries to the log and returns the index up to which
+// the logs are now known to agree.
+func (c *Core) store(m *fleetpb.RaftMessage) uint64 {
+	last := m.LogIndex
+	for i, e := range m.Entries {
+		last = e.Index
+		if e.Index <= c.log.first {
+			continue
+		}
+		t, ok := c.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			c.cutFrom(e.Index)
+		}
+		rest := m.Entries[i:]
+		c.log.append(rest...)
+		c.out.Append = append(c.out.Append, rest...)
+		c.members, c.membersAt = c.log.membership()
+		return rest[len(rest)-1].Index
+	}
+	return last
+}
+
+// cutFrom drops entries that conflict with the leader's.
+func (c *Core) cutFrom(index uint64) {
+	invariant.Check(c.sink, index > c.commit, "committedNeverLost", "%s drops entry %d, committed is %d", c.id, index, c.commit)
+	c.log.cut(index)
+	c.synced = min(c.synced, index-1)
+	c.out.Cut = index
+	c.out.Append = nil
+}
--- /dev/null
+++ b/internal/control/raft/log.go
@@ -0,0 +1,116 @@
+package raft
+
+import (
+	"sort"
+
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// entryLog holds the entries after a snapshot.
+type entryLog struct {
+	snapshot Snapshot
+	// first is the index before the first kept entry, with its term. Entries up
+	// to the snapshot may be kept for followers that are a little behind.
+	first     uint64
+	firstTerm uint64
+	entries   []*fleetpb.Entry
+}
+
+func newLog(s Snapshot, entries []*fleetpb.Entry) *entryLog {
+	return &entryLog{snapshot: s, first: s.Index, firstTerm: s.Term, entries: entries}
+}
+
+// lastIndex returns the index of the newest entry.
+func (l *entryLog) lastIndex() uint64 { return l.first + uint64(len(l.entries)) }
+
+// lastTerm returns the term of the newest entry.
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.lastIndex())
+	return t
+}
+
+// term returns the term of the entry at index, if it is known.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.first {
+		return l.firstTerm, true
+	}
+	if index < l.first || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.first-1].Term, true
+}
+
+// at returns the entry at index.
+func (l *entryLog) at(index uint64) *fleetpb.Entry { return l.entries[index-l.first-1] }
+
+// slice returns the entries from index on, within bounds of number and bytes.
+func (l *entryLog) slice(index uint64, maxEntries, maxBytes int) []*fleetpb.Entry {
+	var out []*fleetpb.Entry
+	size := 0
+	for i := index; i <= l.lastIndex() && len(out) < maxEntries; i++ {
+		e := l.at(i)
+		size += len(e.Command)
+		if size > maxBytes && len(out) > 0 {
+			break
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// append adds entries at the end.
+func (l *entryLog) append(entries ...*fleetpb.Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// cut drops the entries from index on.
+func (l *entryLog) cut(index uint64) {
+	l.entries = l.entries[:index-l.first-1]
+}
+
+// compact moves the snapshot forward and keeps a tail of entries before it.
+func (l *entryLog) compact(s Snapshot, keep uint64) {
+	l.snapshot = s
+	target := s.Index - min(keep, s.Index)
+	if target <= l.first {
+		return
+	}
+	t, _ := l.term(target)
+	kept := make([]*fleetpb.Entry, l.lastIndex()-target)
+	copy(kept, l.entries[target-l.first:])
+	l.first, l.firstTerm, l.entries = target, t, kept
+}
+
+// restore replaces the log by a snapshot.
+func (l *entryLog) restore(s Snapshot) {
+	*l = entryLog{snapshot: s, first: s.Index, firstTerm: s.Term}
+}
+
+// upToDate reports whether a log that ends so is at least as new as this one.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.lastIndex()
+}
+
+// membership returns the newest membership in the log or the snapshot.
+func (l *entryLog) membership() (*fleetpb.Membership, uint64) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if l.entries[i].Membership != nil {
+			return l.entries[i].Membership, l.entries[i].Index
+		}
+	}
+	return l.snapshot.Membership, l.snapshot.Index
+}
+
+// membershipAt returns the membership that holds at index.
+func (l *entryLog) membershipAt(index uint64) *fleetpb.Membership {
+	end := sort.Search(len(l.entries), func(i int) bool { return l.entries[i].Index > index })
+	for i := end - 1; i >= 0; i-- {
+		if l.entries[i].Membership != nil {
+			return l.entries[i].Membership
+		}
+	}
+	return l.snapshot.Membership
+}
--- /dev/null
+++ b/internal/control/raft/member.go
@@ -0,0 +1,105 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// proposeMembers proposes a change of one voter, or of learners.
+func (c *Core) proposeMembers(now clock.Time, m MembershipMsg) {
+	if err := c.checkMembers(m.Membership); err != nil {
+		c.out.Proposed = append(c.out.Proposed, Proposal{Tag: m.Tag, Err: err})
+		return
+	}
+	c.propose(now, &fleetpb.Entry{Membership: m.Membership}, m.Tag)
+	if c.role == Leader {
+		c.trackMembers(now)
+		c.replicateAll(now)
+	}
+}
+
+func (c *Core) checkMembers(next *fleetpb.Membership) error {
+	switch {
+	case c.role != Leader:
+		return ErrNotLeader
+	case c.membersAt > c.commit || c.commit < c.termStart:
+		return ErrMemberPending
+	}
+	added, removed := difference(c.members.Voters, next.Voters)
+	if len(added)+len(removed) > 1 || len(next.Voters) == 0 {
+		return ErrMemberStep
+	}
+	for _, id := range added {
+		// A voter must hold all that is committed, durably, before it counts.
+		if p := c.progress[id]; p == nil || p.match < c.commit {
+			return ErrNotCaughtUp
+		}
+	}
+	return nil
+}
+
+// difference returns the ids that two sets do not share.
+func difference(a, b []*fleetpb.Replica) (added, removed []string) {
+	has := func(set []*fleetpb.Replica, id string) bool {
+		return slices.ContainsFunc(set, func(r *fleetpb.Replica) bool { return r.Id == id })
+	}
+	for _, r := range b {
+		if !has(a, r.Id) {
+			added = append(added, r.Id)
+		}
+	}
+	for _, r := range a {
+		if !has(b, r.Id) {
+			removed = append(removed, r.Id)
+		}
+	}
+	return added, removed
+}
+
+// stepDownIfRemoved ends the lead of a replica that is no voter any more.
+func (c *Core) stepDownIfRemoved(now clock.Time) {
+	if c.commit >= c.membersAt && !c.isVoter(c.id) {
+		c.tellCommit()
+		c.becomeFollower(now, c.term, "")
+	}
+}
+
+// transfer hands the lead over. The lease ends first, so that the next leader may
+// be elected without waiting for it.
+func (c *Core) transfer(now clock.Time, to string) {
+	if c.role != Leader {
+		return
+	}
+	if to == "" {
+		to = c.bestSuccessor()
+	}
+	p := c.progress[to]
+	if p == nil || !c.isVoter(to) {
+		return
+	}
+	c.transferTo = to
+	c.transferDue = now.Add(2 * c.election)
+	c.finishTransfer(to, p)
+}
+
+// finishTransfer tells the successor to start once it holds every entry.
+func (c *Core) finishTransfer(id string, p *progress) {
+	if c.transferTo != id || p.match < c.log.lastIndex() {
+		return
+	}
+	c.leaseUntil = 0
+	c.send(&fleetpb.RaftMessage{Kind: fleetpb.RaftMessage_TIMEOUT_NOW, To: id})
+}
+
+// bestSuccessor returns the voter that holds the most.
+func (c *Core) bestSuccessor() string {
+	best := ""
+	for _, id := range c.followers() {
+		if c.isVoter(id) && (best == "" || c.progress[id].match > c.progress[best].match) {
+			best = id
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/control/raft/raft.go
@@ -0,0 +1,340 @@
+// Package raft agrees on a log of commands among a few replicas. It is a
+// deterministic state machine of the Raft family: pre-vote, check-quorum, a
+// leader lease that rests on clock rates alone, learners, single-step membership
+// change, read-index reads, snapshots in chunks, and pipelined replication.
+//
+// A Core does no I/O. A shell gives it messages and carries out the effects; see
+// Effects for the order.
+package raft
+
+import (
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/invariant"
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Defaults and limits.
+const (
+	defaultHeartbeat  = 50 * clock.Millisecond
+	defaultElection   = 300 * clock.Millisecond
+	defaultChunkBytes = 256 << 10
+	defaultKeepTail   = 1024
+	maxBatchEntries   = 512
+	maxBatchBytes     = 1 << 20
+	maxInFlight       = 64 // Appends to one follower that are not answered yet.
+	// DriftPercent bounds by how much the rates of two clocks may differ. The
+	// lease is that much shorter than the followers' promise.
+	DriftPercent = 10
+)
+
+// Role is what a replica does in its term.
+type Role int
+
+// Roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String implements fmt.Stringer.
+func (r Role) String() string {
+	return [...]string{"follower", "preCandidate", "candidate", "leader"}[r]
+}
+
+// Durable is what a replica had made durable before it started.
+type Durable struct {
+	Hard     *fleetpb.HardState
+	Snapshot Snapshot
+	Entries  []*fleetpb.Entry
+}
+
+// Core is one replica's state of agreement.
+type Core struct {
+	id         string
+	src        *rng.Source
+	sink       invariant.Sink
+	heartbeat  clock.Duration
+	election   clock.Duration
+	chunkBytes int
+	keepTail   uint64
+
+	term    uint64
+	vote    string
+	log     *entryLog
+	members *fleetpb.Membership
+	// membersAt is the index of the entry that set members.
+	membersAt uint64
+
+	role    Role
+	leader  string
+	commit  uint64
+	applied uint64
+	synced  uint64
+
+	heardAt     clock.Time // When a leader was last heard; followers keep a promise from then on.
+	electionDue clock.Time
+	votes       map[string]bool
+
+	progress    map[string]*progress
+	round       uint64
+	rounds      []roundStart
+	heartbeatAt clock.Time
+	leaseUntil  clock.Time
+	termStart   uint64 // Index of the first entry of the leader's term.
+	transferTo  string
+	transferDue clock.Time
+	reads       []pendingRead
+
+	incoming *incomingSnapshot
+	out      Effects
+}
+
+// New returns a replica that continues from what it had made durable.
+func New(id string, now clock.Time, src *rng.Source, d Durable, opts ...Option) *Core {
+	c := &Core{
+		id: id, src: src, sink: invariant.Fatal{},
+		heartbeat: defaultHeartbeat, election: defaultElection,
+		chunkBytes: defaultChunkBytes, keepTail: defaultKeepTail,
+		log: newLog(d.Snapshot, d.Entries),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	if d.Hard != nil {
+		c.term, c.vote = d.Hard.Term, d.Hard.Vote
+	}
+	c.commit, c.applied = d.Snapshot.Index, d.Snapshot.Index
+	c.synced = c.log.lastIndex()
+	c.members, c.membersAt = c.log.membership()
+	// A restart forgets when the leader was heard, so the promise to it starts anew.
+	c.heardAt = now
+	c.resetElection(now)
+	return c
+}
+
+// Bootstrap returns what the first voters of a new group start from.
+func Bootstrap(voters []*fleetpb.Replica) Durable {
+	const firstTerm = 1
+	return Durable{
+		Hard:     &fleetpb.HardState{Term: firstTerm},
+		Snapshot: Snapshot{Index: 1, Term: firstTerm, Membership: &fleetpb.Membership{Voters: voters}},
+	}
+}
+
+// ID returns the replica's identity.
+func (c *Core) ID() string { return c.id }
+
+// Role returns what the replica does.
+func (c *Core) Role() Role { return c.role }
+
+// Term returns the present term.
+func (c *Core) Term() uint64 { return c.term }
+
+// Leader returns the leader's identity, if known.
+func (c *Core) Leader() string { return c.leader }
+
+// Commit returns the highest index known to be committed.
+func (c *Core) Commit() uint64 { return c.commit }
+
+// LastIndex returns the index of the newest entry.
+func (c *Core) LastIndex() uint64 { return c.log.lastIndex() }
+
+// Members returns the newest membership, committed or not.
+func (c *Core) Members() *fleetpb.Membership { return c.members }
+
+// SnapshotIndex returns the index of the newest snapshot.
+func (c *Core) SnapshotIndex() uint64 { return c.log.snapshot.Index }
+
+// LeaseUntil returns the end of the leader's lease. A leader may act alone, for
+// example give orders, only before it.
+func (c *Core) LeaseUntil() clock.Time {
+	if c.role != Leader || c.transferTo != "" {
+		return 0
+	}
+	return c.leaseUntil
+}
+
+// HeardAt returns when a follower last heard its leader.
+func (c *Core) HeardAt() clock.Time { return c.heardAt }
+
+// Match returns the index up to which the leader knows a replica to be durable.
+func (c *Core) Match(id string) uint64 {
+	if id == c.id {
+		return c.synced
+	}
+	if p := c.progress[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// LastAck returns when the leader last heard from a replica.
+func (c *Core) LastAck(id string) clock.Time {
+	if p := c.progress[id]; p != nil {
+		return p.lastAck
+	}
+	return 0
+}
+
+// Update takes one message and returns what the shell must do.
+func (c *Core) Update(now clock.Time, msg Msg) Effects {
+	switch m := msg.(type) {
+	case TickMsg:
+		c.tick(now)
+	case PeerMsg:
+		c.peer(now, m.Message)
+	case ProposeMsg:
+		c.propose(now, &fleetpb.Entry{Command: m.Command}, m.Tag)
+	case MembershipMsg:
+		c.proposeMembers(now, m)
+	case ReadMsg:
+		c.read(now, m.Tag)
+	case SyncedMsg:
+		c.onSynced(now, m)
+	case CompactMsg:
+		c.compact(m)
+	case TransferMsg:
+		c.transfer(now, m.To)
+	}
+	c.deliver()
+	out := c.out
+	c.out = Effects{}
+	return out
+}
+
+func (c *Core) tick(now clock.Time) {
+	if c.role == Leader {
+		c.leaderTick(now)
+		return
+	}
+	if !now.Before(c.electionDue) {
+		c.preCampaign(now)
+	}
+}
+
+// peer takes a message from another replica.
+func (c *Core) peer(now clock.Time, m *fleetpb.RaftMessage) {
+	if m.To != c.id {
+		return
+	}
+	switch m.Kind {
+	case fleetpb.RaftMessage_PRE_VOTE:
+		c.onPreVote(now, m)
+		return
+	case fleetpb.RaftMessage_PRE_VOTE_REPLY:
+		c.onPreVoteReply(now, m)
+		return
+	case fleetpb.RaftMessage_VOTE:
+		if !m.Transfer && c.promised(now) {
+			return
+		}
+	}
+	if m.Term > c.term {
+		c.becomeFollower(now, m.Term, "")
+	}
+	if m.Term < c.term {
+		c.rejectOld(m)
+		return
+	}
+	switch m.Kind {
+	case fleetpb.RaftMessage_VOTE:
+		c.onVote(now, m)
+	case fleetpb.RaftMessage_VOTE_REPLY:
+		c.onVoteReply(now, m)
+	case fleetpb.RaftMessage_APPEND:
+		c.onAppend(now, m)
+	case fleetpb.RaftMessage_APPEND_REPLY:
+		c.onAppendReply(now, m)
+	case fleetpb.RaftMessage_SNAPSHOT:
+		c.onSnapshot(now, m)
+	case fleetpb.RaftMessage_SNAPSHOT_REPLY:
+		c.onSnapshotReply(now, m)
+	case fleetpb.RaftMessage_TIMEOUT_NOW:
+		c.campaign(now, true)
+	}
+}
+
+// rejectOld tells a sender of an older term of the present one.
+func (c *Core) rejectOld(m *fleetpb.RaftMessage) {
+	if m.Kind == fleetpb.RaftMessage_APPEND || m.Kind == fleetpb.RaftMessage_SNAPSHOT {
+		c.sendSynced(&fleetpb.RaftMessage{Kind: fleetpb.RaftMessage_APPEND_REPLY, To: m.From, Reject: true})
+	}
+}
+
+func (c *Core) becomeFollower(now clock.Time, term uint64, leader string) {
+	if term > c.term {
+		c.term, c.vote = term, ""
+		c.saveHard()
+	}
+	if c.role == Leader {
+		c.failReads(ErrNotLeader)
+		// The lease may still run; the promise to oneself keeps until its end.
+		c.heardAt = now
+	}
+	c.role = Follower
+	c.leader = leader
+	c.progress = nil
+	c.transferTo = ""
+	c.resetElection(now)
+}
+
+func (c *Core) saveHard() {
+	c.out.Hard = &fleetpb.HardState{Term: c.term, Vote: c.vote}
+}
+
+func (c *Core) resetElection(now clock.Time) {
+	c.electionDue = now.Add(c.election + clock.Duration(c.src.Int64N(int64(c.election))))
+}
+
+// promised reports whether the replica has heard a leader too recently to help
+// elect another. The leader's lease rests on this promise.
+func (c *Core) promised(now clock.Time) bool {
+	if c.role == Leader {
+		return now.Before(c.leaseUntil)
+	}
+	return now.Sub(c.heardAt) < c.election
+}
+
+// send queues a message that depends on nothing that is not durable.
+func (c *Core) send(m *fleetpb.RaftMessage) {
+	m.From, m.Term = c.id, c.term
+	c.out.Send = append(c.out.Send, m)
+}
+
+// sendSynced queues a message that must wait until this update is durable.
+func (c *Core) sendSynced(m *fleetpb.RaftMessage) {
+	m.From, m.Term = c.id, c.term
+	c.out.SendSynced = append(c.out.SendSynced, m)
+}
+
+// deliver hands over the entries that are committed and not yet applied.
+func (c *Core) deliver() {
+	for c.applied < c.commit && c.applied < c.log.lastIndex() {
+		c.applied++
+		c.out.Committed = append(c.out.Committed, c.log.at(c.applied))
+	}
+}
+
+// compact takes a snapshot of the applied state.
+func (c *Core) compact(m CompactMsg) {
+	if m.Index <= c.log.snapshot.Index || m.Index > c.applied {
+		return
+	}
+	t, ok := c.log.term(m.Index)
+	if !ok {
+		return
+	}
+	s := Snapshot{Index: m.Index, Term: t, Membership: c.log.membershipAt(m.Index), State: m.State}
+	c.log.compact(s, c.keepTail)
+}
+
+// Snapshot returns the newest snapshot.
+func (c *Core) Snapshot() Snapshot { return c.log.snapshot }
+
+// Tail returns the entries after the snapshot.
+func (c *Core) Tail() []*fleetpb.Entry {
+	return c.log.entries[c.log.snapshot.Index-c.log.first:]
+}
--- /dev/null
+++ b/internal/control/raft/replicate.go
@@ -0,0 +1,283 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// progress is what a leader knows of a follower.
+type progress struct {
+	match    uint64 // Highest entry known to be durable there.
+	next     uint64 // Next entry to send.
+	probing  bool   // Where the logs agree is not known yet.
+	inFlight int    // Appends that are not answered.
+	round    uint64 // Newest heartbeat round that it answered.
+	lastAck  clock.Time
+	snapshot *outgoingSnapshot
+}
+
+// roundStart is when a heartbeat round began.
+type roundStart struct {
+	round uint64
+	at    clock.Time
+}
+
+func (c *Core) becomeLeader(now clock.Time) {
+	c.role = Leader
+	c.leader = c.id
+	c.transferTo = ""
+	c.leaseUntil = 0
+	c.rounds = nil
+	c.reads = nil
+	c.progress = map[string]*progress{}
+	c.trackMembers(now)
+	// An entry of the new term commits what earlier terms left.
+	entry := c.appendEntry(&fleetpb.Entry{})
+	c.termStart = entry.Index
+	c.beat(now)
+}
+
+// trackMembers keeps the progress of exactly the present members.
+func (c *Core) trackMembers(now clock.Time) {
+	present := map[string]bool{}
+	for _, r := range slices.Concat(c.members.Voters, c.members.Learners) {
+		present[r.Id] = true
+		if r.Id != c.id && c.progress[r.Id] == nil {
+			c.progress[r.Id] = &progress{next: c.log.lastIndex() + 1, probing: true, lastAck: now}
+		}
+	}
+	for id := range c.progress {
+		if !present[id] {
+			delete(c.progress, id)
+		}
+	}
+}
+
+// appendEntry adds an entry to the leader's log.
+func (c *Core) appendEntry(e *fleetpb.Entry) *fleetpb.Entry {
+	e.Index, e.Term = c.log.lastIndex()+1, c.term
+	c.log.append(e)
+	c.out.Append = append(c.out.Append, e)
+	if e.Membership != nil {
+		c.members, c.membersAt = e.Membership, e.Index
+	}
+	return e
+}
+
+func (c *Core) propose(now clock.Time, e *fleetpb.Entry, tag uint64) {
+	switch {
+	case c.role != Leader:
+		c.out.Proposed = append(c.out.Proposed, Proposal{Tag: tag, Err: ErrNotLeader})
+		return
+	case c.transferTo != "":
+		c.out.Proposed = append(c.out.Proposed, Proposal{Tag: tag, Err: ErrHandingOver})
+		return
+	}
+	c.appendEntry(e)
+	c.out.Proposed = append(c.out.Proposed, Proposal{Tag: tag, Index: e.Index, Term: e.Term})
+	c.replicateAll(now)
+}
+
+// leaderTick sends heartbeats, and steps down when no majority answers.
+func (c *Core) leaderTick(now clock.Time) {
+	// The successor may still start at any time in this term, so that a leader
+	// whose transfer fails has no lease any more. A new term gives one again.
+	transferFailed := c.transferTo != "" && !now.Before(c.transferDue)
+	if transferFailed || !c.quorumActive(now) {
+		c.becomeFollower(now, c.term, "")
+		return
+	}
+	if !now.Before(c.heartbeatAt) {
+		c.beat(now)
+	}
+}
+
+// quorumActive reports whether a majority answered within two timeouts.
+func (c *Core) quorumActive(now clock.Time) bool {
+	n := 0
+	for _, v := range c.members.Voters {
+		if v.Id == c.id || c.progress[v.Id] != nil && now.Sub(c.progress[v.Id].lastAck) < 2*c.election {
+			n++
+		}
+	}
+	return n >= c.quorum()
+}
+
+// beat starts a heartbeat round. Its start counts for the lease once a majority
+// has answered it.
+func (c *Core) beat(now clock.Time) {
+	c.round++
+	c.rounds = append(c.rounds, roundStart{round: c.round, at: now})
+	c.heartbeatAt = now.Add(c.heartbeat)
+	for _, id := range c.followers() {
+		p := c.progress[id]
+		if p.snapshot != nil {
+			c.sendChunk(id, p)
+			continue
+		}
+		c.sendAppend(id, p, true)
+	}
+	c.settleRounds(now)
+}
+
+// followers returns the other members in a fixed order.
+func (c *Core) followers() []string {
+	ids := make([]string, 0, len(c.progress))
+	for id := range c.progress {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Core) replicateAll(now clock.Time) {
+	for _, id := range c.followers() {
+		c.replicate(id, c.progress[id])
+	}
+	c.advance(now)
+}
+
+// replicate sends a follower what it lacks, without waiting for answers while
+// the logs are known to agree.
+func (c *Core) replicate(id string, p *progress) {
+	for p.snapshot == nil && p.next <= c.log.lastIndex() && p.inFlight < maxInFlight {
+		if p.probing && p.inFlight > 0 {
+			return
+		}
+		if !c.sendAppend(id, p, false) {
+			return
+		}
+	}
+}
+
+// sendAppend sends the entries from p.next on, or none when empty is set and
+// there are none. It reports whether anything was sent.
+func (c *Core) sendAppend(id string, p *progress, empty bool) bool {
+	previous := p.next - 1
+	term, ok := c.log.term(previous)
+	if !ok {
+		c.startSnapshot(id, p)
+		return true
+	}
+	var entries []*fleetpb.Entry
+	if p.inFlight < maxInFlight && (!p.probing || p.inFlight == 0) {
+		entries = c.log.slice(p.next, maxBatchEntries, maxBatchBytes)
+	}
+	if len(entries) == 0 && !empty {
+		return false
+	}
+	c.send(&fleetpb.RaftMessage{
+		Kind: fleetpb.RaftMessage_APPEND, To: id, LogIndex: previous, LogTerm: term,
+		Entries: entries, Commit: c.commit, Round: c.round,
+	})
+	if len(entries) > 0 {
+		p.inFlight++
+		if !p.probing {
+			p.next += uint64(len(entries))
+		}
+	}
+	return true
+}
+
+func (c *Core) onAppendReply(now clock.Time, m *fleetpb.RaftMessage) {
+	p := c.progress[m.From]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.lastAck = now
+	p.inFlight = max(0, p.inFlight-1)
+	p.round = max(p.round, m.Round)
+	if m.Reject {
+		p.probing = true
+		p.inFlight = 0
+		p.next = max(p.match+1, min(m.Hint+1, p.next-1))
+		c.sendAppend(m.From, p, true)
+		c.settleRounds(now)
+		return
+	}
+	if m.LogIndex >= p.match {
+		p.match = m.LogIndex
+		if p.probing || p.next <= p.match {
+			p.probing = false
+			p.next = p.match + 1
+		}
+	}
+	c.settleRounds(now)
+	c.advance(now)
+	if c.role == Leader {
+		c.replicate(m.From, p)
+		c.finishTransfer(m.From, p)
+	}
+}
+
+// advance commits what a majority has made durable.
+func (c *Core) advance(now clock.Time) {
+	matches := make([]uint64, 0, len(c.members.Voters))
+	for _, v := range c.members.Voters {
+		matches = append(matches, c.Match(v.Id))
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-c.quorum()]
+	if index <= c.commit {
+		return
+	}
+	// Only an entry of the leader's own term is committed by counting.
+	if t, _ := c.log.term(index); t != c.term {
+		return
+	}
+	c.commit = index
+	c.stepDownIfRemoved(now)
+	if c.role == Leader {
+		c.tellCommit()
+		c.confirmReads()
+	}
+}
+
+// tellCommit lets followers apply what was just committed without waiting for
+// the next heartbeat.
+func (c *Core) tellCommit() {
+	for _, id := range c.followers() {
+		p := c.progress[id]
+		if p.snapshot == nil && !p.probing && p.next > c.log.lastIndex() {
+			c.sendAppend(id, p, true)
+		}
+	}
+}
+
+// settleRounds renews the lease and answers reads by the newest round that a
+// majority has answered.
+func (c *Core) settleRounds(now clock.Time) {
+	acked := make([]uint64, 0, len(c.members.Voters))
+	for _, v := range c.members.Voters {
+		switch p := c.progress[v.Id]; {
+		case v.Id == c.id:
+			acked = append(acked, c.round)
+		case p != nil:
+			acked = append(acked, p.round)
+		}
+	}
+	if len(acked) < c.quorum() {
+		return
+	}
+	slices.Sort(acked)
+	round := acked[len(acked)-c.quorum()]
+	for len(c.rounds) > 0 && c.rounds[0].round <= round {
+		lease := c.election * (100 - DriftPercent) / 100
+		c.leaseUntil = max(c.leaseUntil, c.rounds[0].at.Add(lease))
+		c.rounds = c.rounds[1:]
+	}
+	c.answerReads(now, round)
+}
+
+// onSynced counts the replica's own durable entries.
+func (c *Core) onSynced(now clock.Time, m SyncedMsg) {
+	if t, ok := c.log.term(m.Index); !ok || t != m.Term {
+		return
+	}
+	c.synced = max(c.synced, m.Index)
+	if c.role == Leader {
+		c.advance(now)
+	}
+}
--- /dev/null
+++ b/internal/control/raft/sim_test.go
@@ -0,0 +1,363 @@
+package raft_test
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/raft"
+	"github.com/jasminecove/jasminecove/internal/testkit/lossy"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// disk is what a replica has made durable.
+type disk struct {
+	durable raft.Durable
+}
+
+// write makes one update's effects durable.
+func (d *disk) write(e *raft.Effects) {
+	if e.Hard != nil {
+		d.durable.Hard = e.Hard
+	}
+	if e.Restore != nil {
+		d.durable.Snapshot, d.durable.Entries = *e.Restore, nil
+	}
+	if e.Cut > 0 {
+		d.cut(e.Cut)
+	}
+	for _, entry := range e.Append {
+		d.cut(entry.Index)
+		d.durable.Entries = append(d.durable.Entries, entry)
+	}
+}
+
+func (d *disk) cut(index uint64) {
+	for i, e := range d.durable.Entries {
+		if e.Index >= index {
+			d.durable.Entries = slices.Clone(d.durable.Entries[:i])
+			return
+		}
+	}
+}
+
+func (d *disk) last() (index, term uint64) {
+	if n := len(d.durable.Entries); n > 0 {
+		return d.durable.Entries[n-1].Index, d.durable.Entries[n-1].Term
+	}
+	return d.durable.Snapshot.Index, d.durable.Snapshot.Term
+}
+
+// machine is one VM with a replica.
+type machine struct {
+	w       *world
+	vm      string
+	id      string
+	rate    float64 // Its clock's rate; true time is 1.
+	core    *raft.Core
+	disk    *disk
+	inbox   []raft.Msg
+	pending *raft.Effects // Being synced.
+	syncEnd clock.Time
+	up      bool
+	applied uint64
+	state   map[string]string
+	history []string // Commands applied, for the check against other replicas.
+	reads   map[uint64]func(index uint64, err error)
+	tags    map[uint64]func(raft.Proposal)
+}
+
+func (m *machine) now() clock.Time { return clock.Time(float64(m.w.now) * m.rate) }
+
+// world is a group of machines on a lossy network in true time.
+type world struct {
+	src       *rng.Source
+	now       clock.Time
+	net       *lossy.Network[*fleetpb.RaftMessage]
+	machines  []*machine
+	committed map[uint64]*fleetpb.Entry
+	leaders   map[uint64]string
+	lostDisks int
+	nextTag   uint64
+	commits   int
+}
+
+func newWorld(seed uint64, n int, faults lossy.Faults) *world {
+	src := rng.New(seed)
+	w := &world{src: src, net: lossy.New[*fleetpb.RaftMessage](src, faults), committed: map[uint64]*fleetpb.Entry{}, leaders: map[uint64]string{}, now: 1000}
+	var voters []*fleetpb.Replica
+	for i := range n {
+		vm := fmt.Sprintf("vm%d", i+1)
+		voters = append(voters, &fleetpb.Replica{Id: vm + "-0", Vm: vm})
+	}
+	for _, v := range voters {
+		m := &machine{w: w, vm: v.Vm, id: v.Id, rate: 0.96 + src.Float64()*0.08, disk: &disk{durable: raft.Bootstrap(voters)}}
+		w.machines = append(w.machines, m)
+		m.start()
+	}
+	return w
+}
+
+func (m *machine) start() {
+	d := m.disk.durable
+	d.Entries = slices.Clone(d.Entries)
+	m.core = raft.New(m.id, m.now(), m.w.src, d, raft.WithSnapshotChunk(64), raft.WithKeepTail(8))
+	m.up, m.pending, m.inbox = true, nil, nil
+	m.state, m.applied, m.history = map[string]string{}, 0, nil
+	m.reads, m.tags = map[uint64]func(uint64, error){}, map[uint64]func(raft.Proposal){}
+	m.restore(d.Snapshot)
+}
+
+// crash loses everything that was not durable. Some of what was being synced may
+// have reached the disk.
+func (m *machine) crash() {
+	if m.pending != nil && m.w.src.IntN(2) == 0 {
+		m.disk.write(m.pending)
+	}
+	m.up = false
+}
+
+// replaceDisk starts the machine under a new identity with nothing.
+func (m *machine) replaceDisk() {
+	m.w.lostDisks++
+	m.id = fmt.Sprintf("%s-%d", m.vm, m.w.lostDisks)
+	m.disk = &disk{}
+	m.start()
+}
+
+func (m *machine) restore(s raft.Snapshot) {
+	if s.Index == 0 {
+		return
+	}
+	m.applied = s.Index
+	m.state = map[string]string{}
+	decodeState(s.State, m.state)
+}
+
+// step runs the machine at the present time.
+func (m *machine) step() {
+	if !m.up {
+		return
+	}
+	if m.pending != nil {
+		if m.w.now < m.syncEnd {
+			return
+		}
+		e := m.pending
+		m.pending = nil
+		m.disk.write(e)
+		m.finish(e)
+	}
+	msgs := append(m.inbox, raft.TickMsg{})
+	m.inbox = nil
+	for i, msg := range msgs {
+		e := m.core.Update(m.now(), msg)
+		m.send(e.Send)
+		if e.Hard == nil && len(e.Append) == 0 && e.Cut == 0 && e.Restore == nil {
+			m.finish(&e)
+			continue
+		}
+		// The rest of the inbox waits until this update is durable.
+		m.pending = &e
+		m.syncEnd = m.w.now.Add(clock.Duration(m.w.src.IntN(8)))
+		m.inbox = append(m.inbox, msgs[i+1:]...)
+		return
+	}
+}
+
+// finish carries out what follows once an update is durable.
+func (m *machine) finish(e *raft.Effects) {
+	m.send(e.SendSynced)
+	if e.Restore != nil {
+		m.restore(*e.Restore)
+	}
+	for _, entry := range e.Committed {
+		m.apply(entry)
+	}
+	for _, p := range e.Proposed {
+		if f := m.tags[p.Tag]; f != nil {
+			f(p)
+		}
+	}
+	for _, r := range e.Reads {
+		if f := m.reads[r.Tag]; f != nil {
+			delete(m.reads, r.Tag)
+			f(r.Index, r.Err)
+		}
+	}
+	if len(e.Append) > 0 || e.Cut > 0 {
+		index, term := m.disk.last()
+		m.inbox = append([]raft.Msg{raft.SyncedMsg{Index: index, Term: term}}, m.inbox...)
+	}
+	m.observe()
+}
+
+func (m *machine) send(msgs []*fleetpb.RaftMessage) {
+	for _, msg := range msgs {
+		m.w.net.Send(m.w.now, m.id, msg.To, proto.CloneOf(msg))
+	}
+}
+
+// apply checks that every replica applies the same entries in order.
+func (m *machine) apply(e *fleetpb.Entry) {
+	if e.Index != m.applied+1 {
+		panic(fmt.Sprintf("%s applied %d after %d", m.id, e.Index, m.applied))
+	}
+	m.applied = e.Index
+	known := m.w.committed[e.Index]
+	if known == nil {
+		m.w.committed[e.Index] = e
+		m.w.commits++
+	} else if !proto.Equal(known, e) {
+		panic(fmt.Sprintf("%s committed another entry at %d", m.id, e.Index))
+	}
+	if len(e.Command) > 0 {
+		k, v, _ := cut(string(e.Command))
+		m.state[k] = v
+	}
+	if m.applied%20 == 0 {
+		m.disk.durable.Snapshot = m.compact()
+		m.disk.durable.Entries = slices.DeleteFunc(slices.Clone(m.disk.durable.Entries), func(x *fleetpb.Entry) bool { return x.Index <= m.applied })
+	}
+}
+
+func (m *machine) compact() raft.Snapshot {
+	if m.applied <= m.disk.durable.Snapshot.Index {
+		return m.disk.durable.Snapshot
+	}
+	e := m.core.Update(m.now(), raft.CompactMsg{Index: m.applied, State: encodeState(m.state)})
+	if !e.Empty() {
+		panic("compact had effects")
+	}
+	return m.core.Snapshot()
+}
+
+// observe checks one leader a term, and one lease at a time.
+func (m *machine) observe() {
+	if m.core.Role() != raft.Leader {
+		return
+	}
+	if l, ok := m.w.leaders[m.core.Term()]; ok && l != m.id {
+		panic(fmt.Sprintf("%s and %s lead term %d", l, m.id, m.core.Term()))
+	}
+	m.w.leaders[m.core.Term()] = m.id
+}
+
+// holdsLease reports whether the machine may act alone now.
+func (m *machine) holdsLease() bool {
+	return m.up && m.core.Role() == raft.Leader && m.now() < m.core.LeaseUntil()
+}
+
+// advance runs the world for a span of true time.
+func (w *world) advance(span clock.Duration) {
+	for end := w.now.Add(span); w.now < end; w.now++ {
+		w.net.Deliver(w.now, func(_, to string, msg *fleetpb.RaftMessage) {
+			for _, m := range w.machines {
+				if m.up && m.id == to {
+					m.inbox = append(m.inbox, raft.PeerMsg{Message: msg})
+				}
+			}
+		})
+		leases := 0
+		for _, m := range w.machines {
+			m.step()
+			if m.holdsLease() {
+				leases++
+			}
+		}
+		if leases > 1 {
+			panic(fmt.Sprintf("%d leases at %d", leases, w.now))
+		}
+		w.manage()
+	}
+}
+
+// manage is a stand-in for the controller that brings replaced disks back.
+func (w *world) manage() {
+	l := w.leader()
+	if l == nil || w.now%50 != 0 {
+		return
+	}
+	present := l.core.Members()
+	next := proto.CloneOf(present)
+	for _, m := range w.machines {
+		known := slices.ContainsFunc(slices.Concat(present.Voters, present.Learners), func(r *fleetpb.Replica) bool { return r.Id == m.id })
+		if m.up && !known {
+			next.Learners = append(next.Learners, &fleetpb.Replica{Id: m.id, Vm: m.vm})
+			l.inbox = append(l.inbox, raft.MembershipMsg{Membership: next})
+			return
+		}
+	}
+	for i, r := range present.Learners {
+		if l.core.Match(r.Id) >= l.core.Commit() {
+			next.Learners = slices.Delete(next.Learners, i, i+1)
+			next.Voters = append(next.Voters, r)
+			l.inbox = append(l.inbox, raft.MembershipMsg{Membership: next})
+			return
+		}
+	}
+	for i, r := range present.Voters {
+		newer := slices.ContainsFunc(present.Voters, func(o *fleetpb.Replica) bool { return o.Vm == r.Vm && o.Id > r.Id })
+		if newer {
+			next.Voters = slices.Delete(next.Voters, i, i+1)
+			l.inbox = append(l.inbox, raft.MembershipMsg{Membership: next})
+			return
+		}
+	}
+}
+
+// leader returns a machine that leads the newest term, if any.
+func (w *world) leader() *machine {
+	var best *machine
+	for _, m := range w.machines {
+		if m.up && m.core.Role() == raft.Leader && (best == nil || m.core.Term() > best.core.Term()) {
+			best = m
+		}
+	}
+	return best
+}
+
+// propose gives the command to a machine and calls done with its fate.
+func (w *world) propose(m *machine, key, value string, done func(raft.Proposal)) {
+	w.nextTag++
+	if done != nil {
+		m.tags[w.nextTag] = done
+	}
+	m.inbox = append(m.inbox, raft.ProposeMsg{Command: []byte(key + "=" + value), Tag: w.nextTag})
+}
+
+func cut(s string) (key, value string, ok bool) {
+	for i := range s {
+		if s[i] == '=' {
+			return s[:i], s[i+1:], true
+		}
+	}
+	return s, "", false
+}
+
+func encodeState(state map[string]string) []byte {
+	keys := make([]string, 0, len(state))
+	for k := range state {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	var out []byte
+	for _, k := range keys {
+		out = append(out, k+"="+state[k]+"\n"...)
+	}
+	return out
+}
+
+func decodeState(data []byte, state map[string]string) {
+	start := 0
+	for i, b := range data {
+		if b == '\n' {
+			k, v, _ := cut(string(data[start:i]))
+			state[k] = v
+			start = i + 1
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/replica/loop.go
@@ -0,0 +1,255 @@
+package replica
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/control/raft"
+	"github.com/jasminecove/jasminecove/internal/control/roster"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// rosterEvery is the span between two looks at the group's membership.
+const rosterEvery = 100 * clock.Millisecond
+
+// event is one input of the loop: a message for the core, or a function.
+type event struct {
+	msg      raft.Msg
+	run      func()
+	proposal *proposal
+	read     *read
+	fromVM   string
+}
+
+// take handles a batch of events with one sync of the journal.
+func (r *Replica) take(batch []event) error {
+	var sum raft.Effects
+	for _, e := range batch {
+		out := r.update(e)
+		r.send(out.Send)
+		if out.Restore != nil {
+			// What came before the snapshot must be settled first.
+			if err := r.carry(&sum); err != nil {
+				return err
+			}
+			sum = raft.Effects{}
+		}
+		merge(&sum, &out)
+		if out.Restore != nil {
+			if err := r.carry(&sum); err != nil {
+				return err
+			}
+			sum = raft.Effects{}
+		}
+	}
+	if err := r.carry(&sum); err != nil {
+		return err
+	}
+	r.manageMembers()
+	r.publish()
+	return nil
+}
+
+// update gives one event to the core.
+func (r *Replica) update(e event) raft.Effects {
+	now := r.cfg.Clock.Now()
+	switch {
+	case e.run != nil:
+		e.run()
+		return raft.Effects{}
+	case e.proposal != nil:
+		r.nextTag++
+		r.proposals[r.nextTag] = e.proposal
+		return r.core.Update(now, raft.ProposeMsg{Command: e.proposal.command, Tag: r.nextTag})
+	case e.read != nil:
+		r.nextTag++
+		r.reads[r.nextTag] = e.read
+		return r.core.Update(now, raft.ReadMsg{Tag: r.nextTag})
+	}
+	if p, ok := e.msg.(raft.PeerMsg); ok && e.fromVM != "" {
+		r.vms[p.Message.From] = e.fromVM
+	}
+	return r.core.Update(now, e.msg)
+}
+
+// merge adds later effects to earlier ones that are not durable yet.
+func merge(sum, next *raft.Effects) {
+	if next.Hard != nil {
+		sum.Hard = next.Hard
+	}
+	if next.Cut > 0 {
+		sum.Append = slices.DeleteFunc(sum.Append, func(e *fleetpb.Entry) bool { return e.Index >= next.Cut })
+		if sum.Cut == 0 || next.Cut < sum.Cut {
+			sum.Cut = next.Cut
+		}
+	}
+	if next.Restore != nil {
+		sum.Restore = next.Restore
+	}
+	sum.Append = append(sum.Append, next.Append...)
+	sum.SendSynced = append(sum.SendSynced, next.SendSynced...)
+	sum.Committed = append(sum.Committed, next.Committed...)
+	sum.Proposed = append(sum.Proposed, next.Proposed...)
+	sum.Reads = append(sum.Reads, next.Reads...)
+}
+
+// carry makes effects durable and then carries out what waits for that.
+func (r *Replica) carry(e *raft.Effects) error {
+	if err := r.persist(e); err != nil {
+		return err
+	}
+	r.send(e.SendSynced)
+	for _, p := range e.Proposed {
+		r.proposed(p)
+	}
+	r.apply(e.Committed)
+	r.confirm(e.Reads)
+	if len(e.Append) == 0 {
+		r.runReads()
+		return nil
+	}
+	last := e.Append[len(e.Append)-1]
+	after := r.core.Update(r.cfg.Clock.Now(), raft.SyncedMsg{Index: last.Index, Term: last.Term})
+	r.send(after.Send)
+	r.send(after.SendSynced)
+	r.apply(after.Committed)
+	r.confirm(after.Reads)
+	r.runReads()
+	return nil
+}
+
+func (r *Replica) persist(e *raft.Effects) error {
+	if e.Hard != nil {
+		r.hard = e.Hard
+	}
+	if e.Restore != nil {
+		if err := r.journal.SaveSnapshot(*e.Restore); err != nil {
+			return err
+		}
+		if err := r.journal.Reset(r.hard, nil); err != nil {
+			return err
+		}
+		if err := r.state.Restore(e.Restore.Index, e.Restore.State); err != nil {
+			return err
+		}
+		r.learnVMs()
+		r.log.Info("restored from the leader's snapshot", "index", e.Restore.Index)
+		r.notify()
+		return nil
+	}
+	if e.Hard == nil && e.Cut == 0 && len(e.Append) == 0 {
+		return nil
+	}
+	return r.journal.Append(e.Hard, e.Cut, e.Append)
+}
+
+func (r *Replica) send(msgs []*fleetpb.RaftMessage) {
+	for _, m := range msgs {
+		if vm := r.vms[m.To]; vm != "" {
+			r.cfg.Sender.SendRaft(vm, m)
+		}
+	}
+}
+
+// apply runs committed commands and answers those who wait for them.
+func (r *Replica) apply(entries []*fleetpb.Entry) {
+	for _, e := range entries {
+		var c *fleetpb.Command
+		if len(e.Command) > 0 {
+			c = &fleetpb.Command{}
+			if err := proto.Unmarshal(e.Command, c); err != nil {
+				r.log.Error("committed command is not readable", "index", e.Index, "error", err)
+				c = nil
+			}
+		}
+		result := r.state.Apply(e.Index, c)
+		if e.Membership != nil {
+			r.learnVMs()
+		}
+		p := r.waiting[e.Index]
+		if p == nil {
+			continue
+		}
+		delete(r.waiting, e.Index)
+		if p.term != e.Term {
+			p.finish(nil, ErrLost)
+			continue
+		}
+		p.finish(result, nil)
+	}
+	if len(entries) > 0 {
+		r.notify()
+		r.snapshot()
+	}
+}
+
+// snapshot saves the state in the background once the journal has grown.
+func (r *Replica) snapshot() {
+	if r.saving || r.journal.Records() < recordsPerSnapshot || r.state.Applied() <= r.core.SnapshotIndex() {
+		return
+	}
+	r.saving = true
+	index := r.state.Applied()
+	encode := r.state.Capture()
+	go func() {
+		data, err := encode()
+		r.post(event{run: func() { r.saveSnapshot(index, data, err) }})
+	}()
+}
+
+// saveSnapshot gives the encoded state to the core and writes it in the
+// background.
+func (r *Replica) saveSnapshot(index uint64, data []byte, err error) {
+	if err != nil || index <= r.core.SnapshotIndex() {
+		r.saving = false
+		return
+	}
+	r.core.Update(r.cfg.Clock.Now(), raft.CompactMsg{Index: index, State: data})
+	s := r.core.Snapshot()
+	go func() {
+		err := r.journal.SaveSnapshot(s)
+		r.post(event{run: func() { r.snapshotSaved(s, err) }})
+	}()
+}
+
+// snapshotSaved starts a new journal after the snapshot.
+func (r *Replica) snapshotSaved(s raft.Snapshot, err error) {
+	r.saving = false
+	if err == nil && r.core.Snapshot().Index == s.Index {
+		err = r.journal.Reset(r.hard, r.core.Tail())
+	}
+	if err != nil {
+		r.log.Error("snapshot failed", "index", s.Index, "error", err)
+		return
+	}
+	r.log.Debug("snapshot saved", "index", s.Index, "bytes", len(s.State))
+}
+
+// manageMembers lets the leader take the next step of the group's membership.
+func (r *Replica) manageMembers() {
+	now := r.cfg.Clock.Now()
+	if r.core.Role() != raft.Leader || now.Sub(r.rosterAt) < rosterEvery {
+		return
+	}
+	r.rosterAt = now
+	wanted := make([]*fleetpb.Replica, 0, len(r.joins))
+	for _, j := range r.joins {
+		wanted = append(wanted, j)
+	}
+	retired := make([]string, 0, len(r.retired))
+	for vm := range r.retired {
+		retired = append(retired, vm)
+	}
+	next := roster.Next(r.core.Members(), wanted, retired, func(id string) bool { return r.core.Match(id) >= r.core.Commit() })
+	if next == nil {
+		return
+	}
+	// The loop must not wait for its own queue.
+	select {
+	case r.inbox <- event{msg: raft.MembershipMsg{Membership: next}}:
+	default:
+	}
+	r.log.Info("membership change proposed", "voters", len(next.Voters), "learners", len(next.Learners))
+}
--- /dev/null
+++ b/internal/control/state/claims.go
@@ -0,0 +1,70 @@
+package state
+
+import (
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/invariant"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// claim reserves the one run of a call. A claim whose run is known not to have
+// happened may be taken again.
+func (s *State) claim(c *fleetpb.ClaimBooking) *fleetpb.Result {
+	s.expireClaims()
+	known, held := s.claims.get(c.Key)
+	if held && known.Fingerprint != c.Fingerprint {
+		return &fleetpb.Result{Code: fleetpb.Result_FINGERPRINT}
+	}
+	if held && known.RunId == c.RunId {
+		return &fleetpb.Result{}
+	}
+	if held && known.Outcome.GetKind() != fleetpb.Outcome_NOT_RUN {
+		return &fleetpb.Result{Code: fleetpb.Result_HELD, Outcome: known.Outcome}
+	}
+	if !held && s.claims.len() >= MaxClaims {
+		return &fleetpb.Result{Code: fleetpb.Result_FULL}
+	}
+	s.claims.put(c.Key, &fleetpb.ClaimRecord{
+		Key: c.Key, Fingerprint: c.Fingerprint, RunId: c.RunId, Owner: c.Owner,
+		AtMs: int64(s.now), Outcome: &fleetpb.Outcome{},
+	})
+	return &fleetpb.Result{}
+}
+
+// settle stores the outcome of a run. Only the run that holds the claim may, and
+// only once.
+func (s *State) settle(c *fleetpb.SettleClaim) *fleetpb.Result {
+	known, held := s.claims.get(c.Key)
+	if !held || known.RunId != c.RunId {
+		return &fleetpb.Result{Code: fleetpb.Result_STALE}
+	}
+	if known.Outcome.GetKind() != fleetpb.Outcome_PENDING {
+		return &fleetpb.Result{Code: fleetpb.Result_STALE, Outcome: known.Outcome}
+	}
+	invariant.Check(s.sink, c.Outcome.GetKind() != fleetpb.Outcome_PENDING, "oneOutcomeAClaim", "claim settled as pending")
+	next := &fleetpb.ClaimRecord{
+		Key: known.Key, Fingerprint: known.Fingerprint, RunId: known.RunId, Owner: known.Owner,
+		AtMs: known.AtMs, Outcome: c.Outcome,
+	}
+	s.claims.put(c.Key, next)
+	return &fleetpb.Result{}
+}
+
+// expireClaims forgets the claims that are past their life.
+func (s *State) expireClaims() {
+	for {
+		key, oldest, ok := s.claims.oldest()
+		if !ok || s.now.Sub(clock.Time(oldest.AtMs)) < ClaimLife {
+			return
+		}
+		s.claims.remove(key)
+	}
+}
+
+// Claim returns the claim of a key, or nil.
+func (s *State) Claim(key string) *fleetpb.ClaimRecord {
+	r, _ := s.claims.get(key)
+	return r
+}
+
+// Claims returns the number of claims that are remembered.
+func (s *State) Claims() int { return s.claims.len() }
--- /dev/null
+++ b/internal/control/state/state.go
@@ -0,0 +1,141 @@
+// Package state is the replicated state: the tables' revisions, the outcome of
+// each change identifier, the claims of bookings and the lease for orders. It changes only by committed commands, alike on every replica.
+package state
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/invariant"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Bounds of the state.
+const (
+	// KeptRevisions is how many past revisions can be read.
+	KeptRevisions = 512
+	// KeptChanges is how many change identifiers are remembered, more than a
+	// day's changes at the two-year size.
+	KeptChanges = 25_000
+	// MaxClaims bounds the claims that are remembered.
+	MaxClaims = 200_000
+	// ClaimLife is how long a claim is remembered, well past the time in which
+	// callers retry.
+	ClaimLife = 24 * clock.Hour
+)
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	sink      invariant.Sink
+	now       clock.Time // The newest time that a command carried.
+	applied   uint64
+	revisions []*fleetpb.Revision // Oldest first; the last is in force.
+	changes   *ordered[*fleetpb.ChangeOutcome]
+	claims    *ordered[*fleetpb.ClaimRecord]
+	fencing   uint64
+	holder    string
+}
+
+// New returns the empty state.
+func New(sink invariant.Sink) *State {
+	return &State{
+		sink:    sink,
+		changes: newOrdered[*fleetpb.ChangeOutcome](),
+		claims:  newOrdered[*fleetpb.ClaimRecord](),
+	}
+}
+
+// Applied returns the index of the newest applied command.
+func (s *State) Applied() uint64 { return s.applied }
+
+// Apply carries out the command at an index. A command whose change identifier
+// was used before changes nothing and gets the first outcome.
+func (s *State) Apply(index uint64, c *fleetpb.Command) *fleetpb.Result {
+	invariant.Check(s.sink, index > s.applied, "appliedOnce", "index %d after %d", index, s.applied)
+	s.applied = index
+	if c == nil {
+		return nil
+	}
+	s.now = max(s.now, clock.Time(c.AtMs))
+	if known, ok := s.changes.get(c.ChangeId); ok && c.ChangeId != "" {
+		again := proto.CloneOf(known.Result)
+		again.Repeated = true
+		return again
+	}
+	result := s.run(index, c)
+	result.Index = index
+	if c.ChangeId != "" {
+		s.changes.put(c.ChangeId, &fleetpb.ChangeOutcome{ChangeId: c.ChangeId, Result: result, AtMs: int64(s.now)})
+		s.changes.trim(KeptChanges)
+	}
+	return result
+}
+
+func (s *State) run(index uint64, c *fleetpb.Command) *fleetpb.Result {
+	switch b := c.Body.(type) {
+	case *fleetpb.Command_Apply:
+		return s.applyTables(c, b.Apply)
+	case *fleetpb.Command_Claim:
+		return s.claim(b.Claim)
+	case *fleetpb.Command_Settle:
+		return s.settle(b.Settle)
+	case *fleetpb.Command_Grant:
+		s.fencing, s.holder = index, b.Grant.Holder
+		return &fleetpb.Result{Fencing: s.fencing}
+	}
+	return &fleetpb.Result{Code: fleetpb.Result_INVALID, Detail: fmt.Sprintf("unknown command %T", c.Body)}
+}
+
+// applyTables accepts new tables when they are based on the present revision.
+func (s *State) applyTables(c *fleetpb.Command, a *fleetpb.ApplyTables) *fleetpb.Result {
+	present := s.Revision()
+	if a.BaseRevision != present.GetNumber() {
+		return &fleetpb.Result{
+			Code: fleetpb.Result_CONFLICT, Revision: present.GetNumber(), Author: present.GetAuthor(),
+			Detail: fmt.Sprintf("based on revision %d, the present one is %d", a.BaseRevision, present.GetNumber()),
+		}
+	}
+	next := &fleetpb.Revision{
+		Number: present.GetNumber() + 1, ChangeId: c.ChangeId, Author: a.Author, Note: a.Note,
+		AtMs: int64(s.now), Document: a.Document,
+	}
+	invariant.Check(s.sink, next.Number > present.GetNumber(), "neverReverts", "revision %d after %d", next.Number, present.GetNumber())
+	s.revisions = append(s.revisions, next)
+	if len(s.revisions) > KeptRevisions {
+		s.revisions = slices.Clone(s.revisions[len(s.revisions)-KeptRevisions:])
+	}
+	return &fleetpb.Result{Revision: next.Number}
+}
+
+// Revision returns the revision in force, or nil before the first.
+func (s *State) Revision() *fleetpb.Revision {
+	if len(s.revisions) == 0 {
+		return nil
+	}
+	return s.revisions[len(s.revisions)-1]
+}
+
+// RevisionAt returns a past revision that is still kept.
+func (s *State) RevisionAt(number uint64) (*fleetpb.Revision, bool) {
+	for _, r := range s.revisions {
+		if r.Number == number {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// History returns the kept revisions without their documents, newest first.
+func (s *State) History() []*fleetpb.Revision {
+	out := make([]*fleetpb.Revision, 0, len(s.revisions))
+	for _, r := range slices.Backward(s.revisions) {
+		out = append(out, &fleetpb.Revision{Number: r.Number, ChangeId: r.ChangeId, Author: r.Author, Note: r.Note, AtMs: r.AtMs})
+	}
+	return out
+}
+
+// Fencing returns the newest fencing number and the VM that may give orders.
+func (s *State) Fencing() (number uint64, holder string) { return s.fencing, s.holder }
--- /dev/null
+++ b/internal/fleet/link/accept.go
@@ -0,0 +1,85 @@
+package link
+
+import (
+	"context"
+	"io"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/jasminecove/jasminecove/internal/fleet/keys"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+	"github.com/jasminecove/jasminecove/internal/wire/framing"
+)
+
+// accept takes connections from other VMs.
+func (t *Transport) accept() {
+	for {
+		conn, err := t.listener.Accept(t.ctx)
+		if err != nil {
+			return
+		}
+		t.task(func() { t.serve(conn) })
+	}
+}
+
+// serve takes the streams of one connection.
+func (t *Transport) serve(conn *quic.Conn) {
+	vm := keys.PeerVM(conn.ConnectionState().TLS)
+	for {
+		stream, err := conn.AcceptStream(t.ctx)
+		if err != nil {
+			return
+		}
+		t.task(func() { t.serveStream(vm, stream) })
+	}
+}
+
+func (t *Transport) serveStream(vm string, stream *quic.Stream) {
+	defer func() {
+		stream.CancelRead(0)
+		_ = stream.Close()
+	}()
+	var start [1]byte
+	if _, err := io.ReadFull(stream, start[:]); err != nil {
+		return
+	}
+	switch start[0] {
+	case streamMessages:
+		t.serveMessages(vm, stream)
+	case streamCall:
+		t.serveCall(vm, stream)
+	default:
+		t.log.Warn("stream refused", "vm", vm, "error", errBadStart)
+	}
+}
+
+// serveMessages hands messages on and answers probes.
+func (t *Transport) serveMessages(vm string, stream *quic.Stream) {
+	r := framing.NewReader(stream)
+	w := framing.NewWriter(counted{stream, t})
+	for {
+		e := &fleetpb.Envelope{}
+		if err := r.Read(e); err != nil {
+			return
+		}
+		if p := e.GetProbe(); p != nil {
+			p.Reply = true
+			if err := w.Write(e); err != nil {
+				return
+			}
+			continue
+		}
+		t.handler.Message(vm, e)
+	}
+}
+
+func (t *Transport) serveCall(vm string, stream *quic.Stream) {
+	c := &fleetpb.Call{}
+	if err := framing.NewReader(stream).Read(c); err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	reply := t.handler.Call(ctx, vm, c)
+	_ = framing.NewWriter(counted{stream, t}).Write(reply)
+}
--- /dev/null
+++ b/internal/fleet/link/link_test.go
@@ -0,0 +1,195 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/fleet/keys"
+	"github.com/jasminecove/jasminecove/internal/fleet/link"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// sink is a Handler that keeps what arrives.
+type sink struct {
+	got chan string
+}
+
+func (s *sink) Message(from string, e *fleetpb.Envelope) { s.got <- from + ":" + e.From }
+
+func (s *sink) Call(_ context.Context, from string, _ *fleetpb.Call) *fleetpb.Reply {
+	return &fleetpb.Reply{Detail: "hello " + from}
+}
+
+func newKeys(t *testing.T, vms ...string) (folder string, of map[string]string) {
+	t.Helper()
+	folder = t.TempDir()
+	assert.NilError(t, keys.CreateAuthority(folder))
+	of = map[string]string{}
+	for _, vm := range vms {
+		of[vm] = filepath.Join(folder, vm)
+		assert.NilError(t, keys.Issue(folder, vm, of[vm]))
+	}
+	return folder, of
+}
+
+func open(t *testing.T, folder string, opts ...link.Option) (*link.Transport, *sink) {
+	t.Helper()
+	ring, err := keys.Load(folder)
+	assert.NilError(t, err)
+	s := &sink{got: make(chan string, 100)}
+	tr, err := link.Listen(t.Context(), "127.0.0.1:0", ring, s, hclog.NewNullLogger(), opts...)
+	assert.NilError(t, err)
+	t.Cleanup(tr.Close)
+	return tr, s
+}
+
+func TestMessagesAndCalls(t *testing.T) {
+	_, of := newKeys(t, "a", "b")
+	a, _ := open(t, of["a"])
+	b, got := open(t, of["b"])
+	a.Send(b.Address(), &fleetpb.Envelope{From: "x"})
+	assert.Equal(t, <-got.got, "a:x")
+	reply, err := a.Call(t.Context(), b.Address(), &fleetpb.Call{})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Detail, "hello a")
+}
+
+func TestStrangerIsRefused(t *testing.T) {
+	_, of := newKeys(t, "a")
+	_, strangers := newKeys(t, "b")
+	a, got := open(t, of["a"])
+	b, _ := open(t, strangers["b"])
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	_, err := b.Call(ctx, a.Address(), &fleetpb.Call{})
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(got.got), 0)
+}
+
+func TestKeysRotateWithoutAStop(t *testing.T) {
+	folder, of := newKeys(t, "a", "b")
+	a, _ := open(t, of["a"], link.WithIdle(200))
+	b, _ := open(t, of["b"])
+	call := func() {
+		t.Helper()
+		_, err := a.Call(t.Context(), b.Address(), &fleetpb.Call{})
+		assert.NilError(t, err)
+	}
+	call()
+	// The order of a rotation: trust everywhere, new certificates, old trust away.
+	steps := []func(vm string) error{
+		func(vm string) error { return keys.Trust(folder, of[vm]) },
+		func(vm string) error { return keys.Issue(folder, vm, of[vm]) },
+		func(vm string) error { return keys.Trust(folder, of[vm]) },
+	}
+	assert.NilError(t, keys.CreateAuthority(folder))
+	for i, step := range steps {
+		if i == 2 {
+			assert.NilError(t, keys.RetireAuthorities(folder))
+		}
+		for _, vm := range []string{"a", "b"} {
+			assert.NilError(t, step(vm))
+			time.Sleep(1050 * time.Millisecond)
+			call()
+		}
+	}
+}
+
+// relay forwards packets to a VM and can lose track of the flows that it knows.
+type relay struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+
+	mu    sync.Mutex
+	flows map[string]*net.UDPConn
+	lost  map[string]bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	to, err := net.ResolveUDPAddr("udp", target)
+	assert.NilError(t, err)
+	r := &relay{front: front, target: to, flows: map[string]*net.UDPConn{}, lost: map[string]bool{}}
+	t.Cleanup(func() { _ = front.Close() })
+	go r.run()
+	return r
+}
+
+func (r *relay) run() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := r.front.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		back := r.flows[from.String()]
+		if back == nil {
+			back, err = net.DialUDP("udp", nil, r.target)
+			if err != nil {
+				r.mu.Unlock()
+				return
+			}
+			r.flows[from.String()] = back
+			go r.answers(back, from)
+		}
+		lost := r.lost[from.String()]
+		r.mu.Unlock()
+		if !lost {
+			_, _ = back.Write(buf[:n])
+		}
+	}
+}
+
+func (r *relay) answers(back *net.UDPConn, to *net.UDPAddr) {
+	buf := make([]byte, 2048)
+	for {
+		n, err := back.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		lost := r.lost[to.String()]
+		r.mu.Unlock()
+		if !lost {
+			_, _ = r.front.WriteToUDP(buf[:n], to)
+		}
+	}
+}
+
+func (r *relay) loseTrack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for from := range r.flows {
+		r.lost[from] = true
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	_, of := newKeys(t, "a", "b")
+	a, _ := open(t, of["a"], link.WithProbe(20, 200))
+	b, got := open(t, of["b"])
+	r := newRelay(t, b.Address())
+	a.Send(r.front.LocalAddr().String(), &fleetpb.Envelope{From: "1"})
+	assert.Equal(t, <-got.got, "a:1")
+	r.loseTrack()
+	for {
+		a.Send(r.front.LocalAddr().String(), &fleetpb.Envelope{From: "2"})
+		select {
+		case m := <-got.got:
+			assert.Equal(t, m, "a:2")
+			assert.Assert(t, a.Stats().Replaced >= 1)
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
@@ -37,6 +38,7 @@
 	FirstSeen clock.Time // Start of its present life.
 	Heard     clock.Time // When this VM last heard of it.
 	expires   clock.Time // 0 while a live home vouches for it.
+	told      uint64     // Sequence of the newest announcement that others are told of.
 	gone      bool
 }
 
@@ -70,7 +72,11 @@
 	changed := u == nil || u.gone || u.Home != r.vm || materially(u.Announcement, a)
 	next := r.replace(now, u, a, r.vm)
 	next.expires = now.Add(effectiveLease(clock.Duration(a.LeaseMs)))
+	if u != nil {
+		next.told = u.told
+	}
 	if changed {
+		next.told = a.Sequence
 		r.version++
 	}
 	return changed
@@ -93,6 +99,7 @@
 	changed := u == nil || u.gone || materially(u.Announcement, &a) || u.Home != d.Home
 	next := r.replace(now, u, &a, d.Home)
 	next.Heard = now.Add(-clock.Duration(d.AgeMs))
+	next.told = d.Sequence
 	if changed {
 		r.version++
 	}
@@ -107,7 +114,7 @@
 	}
 	a := proto.CloneOf(u.Announcement)
 	a.Sequence = d.Sequence
-	r.upstreams[d.Id] = &Upstream{Announcement: a, Home: d.Home, gone: true, expires: now.Add(tombstoneLife)}
+	r.upstreams[d.Id] = &Upstream{Announcement: a, Home: d.Home, gone: true, told: d.Sequence, expires: now.Add(tombstoneLife)}
 	r.version++
 	return true
 }
@@ -186,7 +193,7 @@
 	if u == nil {
 		return nil
 	}
-	d := &fleetpb.Digest{Id: id, Sequence: u.Sequence, Home: u.Home, AgeMs: uint32(max(0, now.Sub(u.Heard)))}
+	d := &fleetpb.Digest{Id: id, Sequence: u.told, Home: u.Home, AgeMs: uint32(max(0, now.Sub(u.Heard)))}
 	if u.gone {
 		return d
 	}
@@ -200,16 +207,36 @@
 	return d
 }
 
-// Digests describes every upstream, ended ones too, for a VM that joins.
-func (r *Registry) Digests(now clock.Time) []*fleetpb.Digest {
-	all := make([]*fleetpb.Digest, 0, len(r.upstreams))
-	for id := range r.upstreams {
+// DigestsOf describes the upstreams of some homes, ended ones too.
+func (r *Registry) DigestsOf(now clock.Time, homes []string) []*fleetpb.Digest {
+	var out []*fleetpb.Digest
+	for id, u := range r.upstreams {
+		if !slices.Contains(homes, u.Home) {
+			continue
+		}
 		if d := r.DigestOf(now, id); d != nil {
-			all = append(all, d)
+			out = append(out, d)
 		}
 	}
-	slices.SortFunc(all, func(a, b *fleetpb.Digest) int { return strings.Compare(a.Id, b.Id) })
-	return all
+	slices.SortFunc(out, func(a, b *fleetpb.Digest) int { return strings.Compare(a.Id, b.Id) })
+	return out
+}
+
+// HomeHashes sums up the live upstreams of each home, for a comparison with
+// another VM's view.
+func (r *Registry) HomeHashes() []*fleetpb.HomeHash {
+	sums := map[string]uint64{}
+	for id, u := range r.upstreams {
+		if !u.gone {
+			sums[u.Home] += xxhash.Sum64String(id) * (u.told | 1)
+		}
+	}
+	out := make([]*fleetpb.HomeHash, 0, len(sums))
+	for vm, sum := range sums {
+		out = append(out, &fleetpb.HomeHash{Vm: vm, Hash: sum})
+	}
+	slices.SortFunc(out, func(a, b *fleetpb.HomeHash) int { return strings.Compare(a.Vm, b.Vm) })
+	return out
 }
 
 func effectiveLease(lease clock.Duration) clock.Duration {
--- /dev/null
+++ b/internal/node/admin/api.go
@@ -0,0 +1,86 @@
+// Package admin is the operators' interface: JSON over HTTPS with a token. The
+// command line uses it, and scripts may.
+package admin
+
+import (
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/control/replica"
+	"github.com/jasminecove/jasminecove/internal/fleet/link"
+	"github.com/jasminecove/jasminecove/internal/request/filter"
+	"github.com/jasminecove/jasminecove/internal/routing/directory"
+	"github.com/jasminecove/jasminecove/internal/upstream/stagelink"
+)
+
+// Status is one VM's view of the fleet.
+type Status struct {
+	VM         string                     `json:"vm"`
+	DataCentre string                     `json:"dataCentre"`
+	Ready      string                     `json:"ready"`     // "yes", or why not.
+	Revision   uint64                     `json:"revision"`  // In force here.
+	ViewAge    clock.Duration             `json:"viewAgeMs"` // Age of the view of the control state.
+	Replica    *replica.Status            `json:"replica,omitempty"`
+	VMs        []VM                       `json:"vms"`
+	Pools      []directory.PoolView       `json:"pools"`
+	Admission  map[string]filter.PoolLoad `json:"admission"`
+	InFlight   int64                      `json:"inFlight"`
+	Links      link.Stats                 `json:"links"`
+	Stages     stagelink.Stats            `json:"stages"`
+	Violations int64                      `json:"violations"`
+}
+
+// VM is one VM as another sees it.
+type VM struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"dataCentre"`
+	State      string `json:"state"`
+	Revision   uint64 `json:"revision"`
+	Draining   bool   `json:"draining,omitempty"`
+	Replica    bool   `json:"replica,omitempty"`
+	Leader     bool   `json:"leader,omitempty"`
+	Callers    string `json:"callers"`
+}
+
+// Change asks for new tables.
+type Change struct {
+	Base     uint64 `json:"base"`     // Revision that the change is based on.
+	ChangeID string `json:"changeId"` // A repeat gets the first outcome.
+	Author   string `json:"author"`
+	Note     string `json:"note,omitempty"`
+	Document string `json:"document"` // YAML.
+}
+
+// ChangeResult is the outcome of a change.
+type ChangeResult struct {
+	Code     string `json:"code"` // ok, conflict or invalid.
+	Revision uint64 `json:"revision"`
+	Author   string `json:"author,omitempty"` // Who made the present revision, on a conflict.
+	Detail   string `json:"detail,omitempty"`
+	Repeated bool   `json:"repeated,omitempty"`
+}
+
+// Codes of a ChangeResult.
+const (
+	CodeOK       = "ok"
+	CodeConflict = "conflict"
+	CodeInvalid  = "invalid"
+)
+
+// Revision is one accepted version of the tables.
+type Revision struct {
+	Number   uint64 `json:"number"`
+	ChangeID string `json:"changeId"`
+	Author   string `json:"author"`
+	Note     string `json:"note,omitempty"`
+	At       string `json:"at"`
+	Document string `json:"document,omitempty"`
+}
+
+// VMRequest names a VM to act on.
+type VMRequest struct {
+	VM string `json:"vm"`
+}
+
+// Failure is the body of an answer that is not a success.
+type Failure struct {
+	Error string `json:"error"`
+}
--- /dev/null
+++ b/internal/node/admin/server.go
@@ -0,0 +1,204 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/control/client"
+	"github.com/jasminecove/jasminecove/internal/node/accounts"
+	"github.com/jasminecove/jasminecove/internal/node/controlplane"
+	"github.com/jasminecove/jasminecove/internal/request/filter"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Bounds of the interface.
+const (
+	maxBody     = 2 << 20
+	callTimeout = 8 * time.Second
+)
+
+// Server answers operators.
+type Server struct {
+	Plane    *controlplane.Plane
+	Accounts *accounts.Store
+	Status   func() Status
+	Ready    func() error
+	Metrics  http.Handler
+	Token    string // Empty asks for none, for a lone VM on loopback.
+}
+
+// Handler returns the operators' interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.Handle("GET /metrics", s.Metrics)
+	mux.HandleFunc("GET /v1/status", s.guard(func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Status()) }))
+	mux.HandleFunc("GET /v1/tables", s.guard(s.serveGet))
+	mux.HandleFunc("POST /v1/tables", s.guard(s.serveApply))
+	mux.HandleFunc("GET /v1/tables/history", s.guard(s.serveHistory))
+	mux.HandleFunc("GET /v1/requests/{id}", s.guard(s.serveExplain))
+	mux.HandleFunc("POST /v1/drain", s.guard(s.serveDrain))
+	mux.HandleFunc("POST /v1/voters/remove", s.guard(s.serveRemoveVoter))
+	return mux
+}
+
+// guard asks for the token and bounds the call's time.
+func (s *Server) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if s.Token != "" && !filter.SameSecret(token, s.Token) {
+			fail(w, http.StatusUnauthorized, "the operators' token is needed")
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		next(w, r.WithContext(ctx))
+	}
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// serveGet answers with the present revision, or with a past one.
+func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
+	ask := &fleetpb.ReadState{Tables: true}
+	if text := r.URL.Query().Get("revision"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || n == 0 {
+			fail(w, http.StatusBadRequest, "revision must be a number greater than 0")
+			return
+		}
+		ask = &fleetpb.ReadState{Revision: n}
+	}
+	answer, err := s.Plane.Client().Read(r.Context(), ask)
+	if err != nil {
+		failCall(w, err)
+		return
+	}
+	reply(w, http.StatusOK, revision(answer.GetState().GetRevision()))
+}
+
+func (s *Server) serveHistory(w http.ResponseWriter, r *http.Request) {
+	answer, err := s.Plane.Client().Read(r.Context(), &fleetpb.ReadState{History: true})
+	if err != nil {
+		failCall(w, err)
+		return
+	}
+	out := make([]Revision, 0, len(answer.History))
+	for _, rev := range answer.History {
+		out = append(out, revision(rev))
+	}
+	reply(w, http.StatusOK, out)
+}
+
+func (s *Server) serveApply(w http.ResponseWriter, r *http.Request) {
+	var c Change
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || c.ChangeID == "" || c.Author == "" {
+		fail(w, http.StatusBadRequest, "changeId, author and document are needed")
+		return
+	}
+	result, err := s.Plane.Client().Propose(r.Context(), &fleetpb.Command{
+		ChangeId: c.ChangeID,
+		Body: &fleetpb.Command_Apply{Apply: &fleetpb.ApplyTables{
+			BaseRevision: c.Base, Document: []byte(c.Document), Author: c.Author, Note: c.Note,
+		}},
+	})
+	if err != nil {
+		failCall(w, err)
+		return
+	}
+	out := ChangeResult{Code: CodeOK, Revision: result.Revision, Author: result.Author, Detail: result.Detail, Repeated: result.Repeated}
+	status := http.StatusOK
+	switch result.Code {
+	case fleetpb.Result_CONFLICT:
+		out.Code, status = CodeConflict, http.StatusConflict
+	case fleetpb.Result_INVALID:
+		out.Code, status = CodeInvalid, http.StatusUnprocessableEntity
+	}
+	reply(w, status, out)
+}
+
+func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if a, ok := s.Accounts.Get(id); ok {
+		reply(w, http.StatusOK, a)
+		return
+	}
+	if data := s.Plane.ExplainElsewhere(r.Context(), id); len(data) > 0 {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(data)
+		return
+	}
+	fail(w, http.StatusNotFound, "no VM remembers the request")
+}
+
+func (s *Server) serveDrain(w http.ResponseWriter, r *http.Request) {
+	var v VMRequest
+	if json.NewDecoder(r.Body).Decode(&v) != nil || v.VM == "" {
+		fail(w, http.StatusBadRequest, "vm is needed")
+		return
+	}
+	if err := s.Plane.DrainVM(r.Context(), v.VM); err != nil {
+		failCall(w, err)
+		return
+	}
+	reply(w, http.StatusAccepted, v)
+}
+
+func (s *Server) serveRemoveVoter(w http.ResponseWriter, r *http.Request) {
+	var v VMRequest
+	if json.NewDecoder(r.Body).Decode(&v) != nil || v.VM == "" {
+		fail(w, http.StatusBadRequest, "vm is needed")
+		return
+	}
+	if err := s.Plane.Client().Join(r.Context(), &fleetpb.Join{Remove: v.VM}); err != nil {
+		failCall(w, err)
+		return
+	}
+	reply(w, http.StatusAccepted, v)
+}
+
+func revision(r *fleetpb.Revision) Revision {
+	at := ""
+	if r != nil {
+		at = clock.Time(r.AtMs).Std().Format(time.RFC3339)
+	}
+	return Revision{
+		Number: r.GetNumber(), ChangeID: r.GetChangeId(), Author: r.GetAuthor(), Note: r.GetNote(), At: at, Document: string(r.GetDocument()),
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func fail(w http.ResponseWriter, status int, text string) { reply(w, status, Failure{Error: text}) }
+
+// failCall answers for a call to the control state that failed.
+func failCall(w http.ResponseWriter, err error) {
+	var refused *client.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		fail(w, http.StatusNotFound, refused.Detail)
+	case errors.Is(err, controlplane.ErrUnknownVM):
+		fail(w, http.StatusNotFound, err.Error())
+	default:
+		fail(w, http.StatusServiceUnavailable, err.Error())
+	}
+}
--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -3,10 +3,14 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +21,10 @@
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
-	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/node/accounts"
+	"github.com/jasminecove/jasminecove/internal/node/admin"
+	"github.com/jasminecove/jasminecove/internal/node/controlplane"
 	"github.com/jasminecove/jasminecove/internal/node/front"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/node/telemetry"
@@ -35,7 +41,7 @@
 	ErrNoTables = fault.Sentinel("assembly: no tables are in force yet")
 )
 
-// Spans of the VM's own tasks.
+// Spans and bounds of the VM's servers and tasks.
 const (
 	tickEvery         = 50 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
@@ -50,66 +56,80 @@
 	tel        *telemetry.Telemetry
 	log        hclog.Logger
 	violations *invariant.Counter
+	initial    []byte
 
 	dir       *directory.Directory
 	links     *stagelink.Set
 	limits    *filter.Limits
 	admission *filter.Admission
+	plane     *controlplane.Plane
 	accounts  *accounts.Store
 	front     *front.Front
 
 	servers   []*http.Server
 	listeners []net.Listener
 	draining  atomic.Bool
+	drain     chan struct{} // Closed when another VM asks this one to drain.
 	tasks     sync.WaitGroup
 	cancel    context.CancelFunc
 }
 
+// Option changes how a Node is made.
+type Option func(*Node)
+
+// WithInitialTables gives a new fleet its first tables, as a YAML document.
+func WithInitialTables(document []byte) Option {
+	return func(n *Node) { n.initial = document }
+}
+
 // New prepares a VM's process. Logs go to out.
-func New(s settings.Settings, out io.Writer) (*Node, error) {
+func New(s settings.Settings, out io.Writer, opts ...Option) (*Node, error) {
 	tel, err := telemetry.New(s, out)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, clock: clock.NewSystem(), tel: tel, log: tel.Log.Named("node"), accounts: accounts.New()}
+	n := &Node{
+		settings: s, clock: clock.NewSystem(), tel: tel, log: tel.Log.Named("node"),
+		accounts: accounts.New(), drain: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
 	n.violations = invariant.NewCounter(func(v *invariant.Violation) {
 		n.log.Error("invariant violated", "rule", v.Rule, "detail", v.Detail)
 		tel.Metrics.Counter("invariant_violations").Inc(1)
 	})
-	n.dir = directory.New(s.VM, n.clock, rng.New(uint64(time.Now().UnixNano())), n.onChange)
-	return n, nil
+	src := rng.New(uint64(time.Now().UnixNano()))
+	n.dir = directory.New(s.VM, n.clock, rng.New(src.Uint64()), n.onChange)
+	n.limits = filter.NewLimits(n.clock, s.FilterOrganisations())
+	n.plane, err = controlplane.New(controlplane.Config{
+		Settings: s, Clock: n.clock, Sink: n.violations, Log: tel.Log, Directory: n.dir, Limits: n.limits,
+		Source: src, Initial: n.initial, Drain: func() { close(n.drain) }, Explain: n.explain,
+	})
+	return n, err
 }
 
-// SetTables puts a document in force on this VM.
-func (n *Node) SetTables(doc *tables.Document) { n.dir.SetTables(doc) }
-
 // Start listens and serves. Stop or Drain ends it.
 func (n *Node) Start(ctx context.Context) error {
 	ctx, n.cancel = context.WithCancel(ctx)
 	n.links = stagelink.NewSet(ctx, n.dir.SetDown)
+	if err := n.plane.Start(ctx); err != nil {
+		return err
+	}
 	n.buildFront()
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{n.settings.Listen.Callers, n.front.Handler()},
-		{n.settings.Listen.Upstreams, n.upstreamsHandler()},
-	} {
-		if err := n.listen(l.address, l.handler); err != nil {
-			n.Stop()
-			return err
-		}
+	if err := n.listenAll(); err != nil {
+		n.Stop()
+		return err
 	}
 	n.task(func() { n.admission.Run(ctx) })
 	n.task(func() { n.tick(ctx) })
-	n.log.Info("serving", "callers", n.CallersAddress(), "upstreams", n.UpstreamsAddress())
+	n.log.Info("serving", "callers", n.CallersAddress(), "upstreams", n.UpstreamsAddress(), "operators", n.OperatorsAddress(), "fleet", n.plane.FleetAddress())
 	return nil
 }
 
 // buildFront assembles the filter chain.
 func (n *Node) buildFront() {
 	orgs := n.settings.FilterOrganisations()
-	n.limits = filter.NewLimits(n.clock, orgs)
 	n.admission = filter.NewAdmission(n.clock, filter.Targets{
 		BetweenTokens: n.settings.Callers.BetweenTokens, ServiceCall: n.settings.Callers.ServiceCall,
 	})
@@ -119,11 +139,56 @@
 		filter.NewRoute(n.dir),
 		n.limits,
 		n.admission,
+		filter.NewClaim(n.plane.Client(), n.clock),
 		filter.NewForward(pipelines, filter.NewServices(n.dir, n.clock)),
 	)
 }
 
-func (n *Node) listen(address string, handler http.Handler) error {
+func (n *Node) listenAll() error {
+	operators, err := n.operatorsServer()
+	if err != nil {
+		return err
+	}
+	secure, err := n.operatorsTLS()
+	if err != nil {
+		return err
+	}
+	if err := n.listen(n.settings.Listen.Callers, n.front.Handler(), nil); err != nil {
+		return err
+	}
+	if err := n.listen(n.settings.Listen.Upstreams, n.upstreamsHandler(), nil); err != nil {
+		return err
+	}
+	return n.listen(n.settings.Listen.Operators, operators.Handler(), secure)
+}
+
+// operatorsServer prepares the operators' interface.
+func (n *Node) operatorsServer() (*admin.Server, error) {
+	s := &admin.Server{Plane: n.plane, Accounts: n.accounts, Status: n.Status, Ready: n.Ready, Metrics: n.tel.Handler}
+	if file := n.settings.Operators.TokenFile; file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, fmt.Errorf("read operators' token: %w", err)
+		}
+		s.Token = strings.TrimSpace(string(data))
+	}
+	return s, nil
+}
+
+// operatorsTLS returns the TLS of the operators' interface, or nil on a lone VM
+// without keys.
+func (n *Node) operatorsTLS() (*tls.Config, error) {
+	if n.settings.Fleet.Keys == "" {
+		return nil, nil
+	}
+	ring, err := keys.Load(n.settings.Fleet.Keys)
+	if err != nil {
+		return nil, err
+	}
+	return ring.Operators(), nil
+}
+
+func (n *Node) listen(address string, handler http.Handler, secure *tls.Config) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
@@ -134,6 +199,9 @@
 	}
 	n.servers = append(n.servers, server)
 	n.listeners = append(n.listeners, l)
+	if secure != nil {
+		l = tls.NewListener(l, secure)
+	}
 	n.task(func() { _ = server.Serve(l) })
 	return nil
 }
@@ -171,6 +239,20 @@
 		n.log.Info("upstream lease ended", "upstream", id)
 		n.links.Drop(id)
 	}
+	n.plane.UpstreamsChanged(c)
+}
+
+// explain returns the account of a request in JSON, or nothing.
+func (n *Node) explain(id string) []byte {
+	a, ok := n.accounts.Get(id)
+	if !ok {
+		return nil
+	}
+	data, err := json.Marshal(a)
+	if err != nil {
+		return nil
+	}
+	return data
 }
 
 // Ready returns why the VM takes no requests, or nil.
@@ -178,6 +260,9 @@
 	if n.draining.Load() {
 		return ErrDraining
 	}
+	if err := n.plane.Ready(); err != nil {
+		return err
+	}
 	if len(n.dir.Tables().Routes) == 0 {
 		return ErrNoTables
 	}
@@ -190,44 +275,14 @@
 // UpstreamsAddress returns the address that upstreams announce to.
 func (n *Node) UpstreamsAddress() string { return n.listeners[1].Addr().String() }
 
+// OperatorsAddress returns the address that operators reach.
+func (n *Node) OperatorsAddress() string { return n.listeners[2].Addr().String() }
+
 // Violations returns the number of broken invariants.
 func (n *Node) Violations() int64 { return n.violations.Count() }
 
-// Stop ends the VM's process at once.
-func (n *Node) Stop() {
-	n.cancel()
-	for _, s := range n.servers {
-		_ = s.Close()
-	}
-	n.links.Close()
-	n.tasks.Wait()
-	n.tel.Close()
-}
-
-// Drain stops gracefully: the VM turns unready, keeps accepting until the
-// balancer has noticed, finishes what is in flight, and stops. It returns the
-// number of requests that were cut at the limit.
-func (n *Node) Drain(ctx context.Context) int64 {
-	n.draining.Store(true)
-	n.log.Info("draining", "inFlight", n.front.InFlight())
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Drain.Limit.Std())
-	defer cancel()
-	wait(ctx, n.settings.Drain.Notice.Std())
-	for n.front.InFlight() > 0 && ctx.Err() == nil {
-		wait(ctx, tickEvery)
-	}
-	if ctx.Err() == nil {
-		_ = n.servers[0].Shutdown(ctx)
-	}
-	cut := n.front.InFlight()
-	n.log.Info("drained", "cut", cut)
-	n.Stop()
-	return cut
-}
+// DrainAsked is closed when another VM passed on an operator's drain.
+func (n *Node) DrainAsked() <-chan struct{} { return n.drain }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
+// Failed carries the error of a disk that may not be trusted any more.
+func (n *Node) Failed() <-chan error { return n.plane.Failed() }
--- /dev/null
+++ b/internal/node/controlplane/calls.go
@@ -0,0 +1,119 @@
+package controlplane
+
+import (
+	"context"
+
+	"github.com/jasminecove/jasminecove/internal/control/client"
+	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Message implements link.Handler.
+func (p *Plane) Message(fromVM string, e *fleetpb.Envelope) {
+	switch b := e.Body.(type) {
+	case *fleetpb.Envelope_Raft:
+		if p.replica != nil {
+			p.replica.Deliver(fromVM, b.Raft)
+		}
+	case *fleetpb.Envelope_Gossip:
+		b.Gossip.From = fromVM
+		p.update(gossip.PeerMsg{Message: b.Gossip})
+	}
+}
+
+// Call implements link.Handler.
+func (p *Plane) Call(ctx context.Context, vm string, c *fleetpb.Call) *fleetpb.Reply {
+	c.From = vm
+	switch b := c.Body.(type) {
+	case *fleetpb.Call_Form:
+		return p.answerForm()
+	case *fleetpb.Call_Drain:
+		p.drained.Do(p.cfg.Drain)
+		return &fleetpb.Reply{}
+	case *fleetpb.Call_Demand:
+		return &fleetpb.Reply{Demand: p.demand.told(vm, b.Demand)}
+	case *fleetpb.Call_Upstreams:
+		return &fleetpb.Reply{Digests: p.cfg.Directory.DigestsOf(b.Upstreams.Homes)}
+	case *fleetpb.Call_Explain:
+		return &fleetpb.Reply{Account: p.cfg.Explain(b.Explain.RequestId)}
+	case *fleetpb.Call_Read:
+		if b.Read.Local {
+			return &fleetpb.Reply{State: p.notice(b.Read.Have)}
+		}
+	}
+	return client.Serve(ctx, p.replica, c)
+}
+
+// answerForm tells whether this VM's replica belongs to a group.
+func (p *Plane) answerForm() *fleetpb.Reply {
+	if p.replica == nil {
+		return &fleetpb.Reply{Code: fleetpb.Reply_REFUSED, Detail: "the VM has no replica"}
+	}
+	st := p.replica.Status()
+	return &fleetpb.Reply{Form: &fleetpb.FormAnswer{
+		Replica: &fleetpb.Replica{Id: st.ID, Vm: p.cfg.Settings.VM}, Formed: st.Formed,
+	}}
+}
+
+// fleet lets the client of the control state call other VMs.
+type fleet struct {
+	p *Plane
+}
+
+// Call implements client.Fleet.
+func (f fleet) Call(ctx context.Context, vm string, c *fleetpb.Call) (*fleetpb.Reply, error) {
+	return f.p.callVM(ctx, vm, c)
+}
+
+// Replicas implements client.Fleet: the live VMs that have a replica.
+func (f fleet) Replicas() []string {
+	var out []string
+	for _, m := range f.p.Members() {
+		if m.Replica != "" && (m.State == fleetpb.Member_ALIVE || m.State == fleetpb.Member_SUSPECT) {
+			out = append(out, m.Vm)
+		}
+	}
+	return out
+}
+
+// DrainVM asks a VM to drain.
+func (p *Plane) DrainVM(ctx context.Context, vm string) error {
+	if vm == p.cfg.Settings.VM {
+		p.drained.Do(p.cfg.Drain)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Drain{Drain: &fleetpb.Drain{}}})
+	return err
+}
+
+// ExplainElsewhere asks the other VMs for the account of a request, in JSON. It
+// is empty when none remembers the request.
+func (p *Plane) ExplainElsewhere(ctx context.Context, id string) []byte {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	vms := p.liveVMs()
+	answers := make(chan []byte, len(vms))
+	asked := 0
+	for _, vm := range vms {
+		if vm == p.cfg.Settings.VM {
+			continue
+		}
+		asked++
+		go func() {
+			reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Explain{Explain: &fleetpb.Explain{RequestId: id}}})
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- reply.Account
+		}()
+	}
+	for range asked {
+		if data := <-answers; len(data) > 0 {
+			return data
+		}
+	}
+	return nil
+}
--- a/internal/node/settings/load.go
+++ b/internal/node/settings/load.go
@@ -77,6 +77,8 @@
 	c.address("listen.upstreams", s.Listen.Upstreams, true)
 	c.address("listen.operators", s.Listen.Operators, true)
 	c.address("listen.fleet", s.Listen.Fleet, false)
+	c.require(s.Fleet.Keys != "" || loopback(s.Listen.Operators), "listen.operators", "needs fleet.keys unless it is a loopback address")
+	c.require(s.Operators.TokenFile != "" || loopback(s.Listen.Operators), "operators.tokenFile", "is needed unless listen.operators is a loopback address")
 	s.checkFleet(c)
 	s.checkCallers(c)
 	s.checkOrganisations(c)
@@ -117,3 +119,9 @@
 	}
 	c.require(s.Callers.Anonymous || len(s.Organisations) > 0, "organisations", "needed unless callers.anonymous is true")
 }
+
+// loopback reports whether an address is reached from this machine only.
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host).IsLoopback()
+}
--- a/internal/request/filter/limits.go
+++ b/internal/request/filter/limits.go
@@ -65,13 +65,12 @@
 	return out
 }
 
-// Told takes another VM's demands.
-func (f *Limits) Told(vm string, demands map[string]float64) {
+// Told takes an organisation's demand at other VMs, in requests a second.
+func (f *Limits) Told(org string, others float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	for name, l := range f.limits {
-		l.Told(now, vm, demands[name])
+	if l := f.limits[org]; l != nil {
+		l.Told(f.clock.Now(), others)
 	}
 }
 
--- a/internal/request/ratelimit/ratelimit.go
+++ b/internal/request/ratelimit/ratelimit.go
@@ -1,6 +1,7 @@
 // Package ratelimit holds an organisation's requests to a rate over all VMs.
-// Each VM takes a share by its part of the demand that VMs tell each other of.
-// A VM that hears no others falls back to an equal share of the last known VMs.
+// Each VM takes a share by its part of the demand, whose sum it hears from the
+// organisation's home VM. A VM that hears nothing falls back to an equal share of
+// the most VMs known of.
 package ratelimit
 
 import (
@@ -13,7 +14,7 @@
 	// demandShare is the weight of one window in the mean demand.
 	demandShare  = 0.3
 	demandWindow = 500 * clock.Millisecond
-	// demandLife is how long another VM's word on its demand counts.
+	// demandLife is how long the home's word on the demand counts.
 	demandLife = 5 * clock.Second
 	// floorShare of an equal part is left to a VM without demand, so that a
 	// first request is not refused.
@@ -29,27 +30,22 @@
 	windowBegan clock.Time
 	arrived     float64
 	demand      float64 // Requests a second that arrive here.
-	others      map[string]told
+	others      float64 // Requests a second that arrive elsewhere.
+	toldAt      clock.Time
 	known       int // The most VMs known of, with this one.
 }
 
-// told is another VM's demand.
-type told struct {
-	demand float64
-	at     clock.Time
-}
-
 // New returns a Limit of rate requests a second over all VMs.
 func New(rate float64) *Limit {
-	return &Limit{rate: rate, tokens: rate, others: map[string]told{}, known: 1}
+	return &Limit{rate: rate, tokens: rate, known: 1}
 }
 
 // SetVMs tells how many VMs there are.
 func (l *Limit) SetVMs(n int) { l.known = max(n, 1) }
 
-// Told takes another VM's demand in requests a second.
-func (l *Limit) Told(now clock.Time, vm string, demand float64) {
-	l.others[vm] = told{demand: demand, at: now}
+// Told takes the demand at other VMs in requests a second.
+func (l *Limit) Told(now clock.Time, others float64) {
+	l.others, l.toldAt = max(0, others), now
 }
 
 // Demand returns the requests a second that arrive here.
@@ -68,20 +64,12 @@
 	return false, clock.Duration((1-l.tokens)/rate*float64(clock.Second)) + 1
 }
 
-// Share returns this VM's part of the rate. Without word from others it is an
+// Share returns this VM's part of the rate. Without word from the home it is an
 // equal part, which keeps the sum over all VMs within the rate when cut off.
 func (l *Limit) Share(now clock.Time) float64 {
 	equal := 1 / float64(l.known)
-	sum, heard := l.demand, 1
-	for vm, t := range l.others {
-		if now.Sub(t.at) > demandLife {
-			delete(l.others, vm)
-			continue
-		}
-		sum += t.demand
-		heard++
-	}
-	if heard < l.known || sum == 0 {
+	sum := l.demand + l.others
+	if l.toldAt == 0 || now.Sub(l.toldAt) > demandLife || sum == 0 {
 		return equal
 	}
 	return floorShare*equal + (1-floorShare)*l.demand/sum
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -174,11 +174,18 @@
 	d.registry.HomeBack(vm)
 }
 
-// Digests describes every known upstream.
-func (d *Directory) Digests() []*fleetpb.Digest {
+// DigestsOf describes the known upstreams of some homes.
+func (d *Directory) DigestsOf(homes []string) []*fleetpb.Digest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.registry.Digests(d.clock.Now())
+	return d.registry.DigestsOf(d.clock.Now(), homes)
+}
+
+// HomeHashes sums up the known upstreams of each home.
+func (d *Directory) HomeHashes() []*fleetpb.HomeHash {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.HomeHashes()
 }
 
 // Upstream returns a live upstream.
--- /dev/null
+++ b/internal/standin/local/local_test.go
@@ -0,0 +1,159 @@
+package local_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/cli/operator"
+	"github.com/jasminecove/jasminecove/internal/node/admin"
+	"github.com/jasminecove/jasminecove/internal/standin/local"
+	"github.com/jasminecove/jasminecove/internal/standin/service"
+)
+
+const document = `
+routes:
+  - {name: book, match: {pathPrefix: /bookings, methods: [POST]}, pool: dispatch, deadline: 10s}
+pools:
+  - {name: dispatch, service: dispatch}
+`
+
+const readyBound = 20 * time.Second
+
+func start(t *testing.T, vms, voters int) *local.Fleet {
+	t.Helper()
+	f, err := local.New(local.Config{Folder: t.TempDir(), VMs: vms, Voters: voters, DataCentres: 3, Tables: []byte(document), Logs: io.Discard, Notice: 20})
+	assert.NilError(t, err)
+	assert.NilError(t, f.StartAll(context.Background(), readyBound))
+	t.Cleanup(f.Stop)
+	return f
+}
+
+func operatorOf(t *testing.T, f *local.Fleet, vm int) *operator.Client {
+	t.Helper()
+	c, err := operator.ForVM(f.Nodes[vm].OperatorsAddress(), f.Settings[vm].Fleet.Keys)
+	assert.NilError(t, err)
+	return c
+}
+
+// eventually waits for a condition that must come true.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(readyBound); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func inForce(f *local.Fleet, revision uint64) func() bool {
+	return func() bool {
+		for _, n := range f.Running() {
+			if n.Status().Revision < revision {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestChangeIsInForceOnEveryVM(t *testing.T) {
+	f := start(t, 5, 3)
+	// The change enters through an observer.
+	op := operatorOf(t, f, 4)
+	result, err := op.Apply(t.Context(), admin.Change{Base: 1, ChangeID: "c1", Author: "amal", Document: document + "# 2\n"})
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, uint64(2))
+	eventually(t, "in force everywhere", inForce(f, 2))
+	again, err := operatorOf(t, f, 0).Apply(t.Context(), admin.Change{Base: 1, ChangeID: "c1", Author: "amal", Document: document + "# 2\n"})
+	assert.NilError(t, err)
+	assert.Assert(t, again.Repeated)
+	assert.Equal(t, again.Revision, uint64(2))
+}
+
+func TestLeaderLostAndReplacedDisk(t *testing.T) {
+	f := start(t, 4, 3)
+	op := operatorOf(t, f, 3)
+	leader := f.Leader()
+	f.StopVM(leader)
+	for i := range 20 {
+		result, err := op.Apply(t.Context(), admin.Change{Base: uint64(i + 1), ChangeID: fmt.Sprint("c", i), Author: "bea", Document: fmt.Sprintf("%s# %d\n", document, i)})
+		assert.NilError(t, err)
+		assert.Equal(t, result.Code, admin.CodeOK)
+	}
+	// The lost VM comes back with an empty disk.
+	f.Settings[leader].DataFolder = t.TempDir()
+	assert.NilError(t, f.Start(context.Background(), leader))
+	eventually(t, "the replaced replica votes", func() bool {
+		s := f.Nodes[leader].Status()
+		return s.Revision == 21 && s.Replica != nil && len(s.Replica.Voters) == 3 && len(s.Replica.Learners) == 0
+	})
+	// A second one is lost right after the repair.
+	second := f.Leader()
+	if second == leader {
+		second = (leader + 1) % 3
+	}
+	f.StopVM(second)
+	result, err := op.Apply(t.Context(), admin.Change{Base: 21, ChangeID: "last", Author: "bea", Document: document + "# last\n"})
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, uint64(22))
+	eventually(t, "in force everywhere", inForce(f, 22))
+}
+
+func TestBookingRunsOnceThroughAnyVM(t *testing.T) {
+	f := start(t, 3, 3)
+	ledger := service.NewLedger()
+	s := service.New("s1", "dispatch", ledger)
+	assert.NilError(t, s.Start(t.Context(), "127.0.0.1:0", f.UpstreamsURLs(0)))
+	defer s.Kill()
+	eventually(t, "every VM knows the service", func() bool {
+		for _, n := range f.Nodes {
+			if len(n.Status().Pools[0].Upstreams) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	book := func(vm int, key, body string) (int, string) {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Nodes[vm].CallersAddress()+"/bookings", strings.NewReader(body))
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", key)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		return resp.StatusCode, string(data)
+	}
+	s.SetFaults(service.Faults{Delay: 100})
+	answers := make(chan string, 3)
+	for vm := range 3 {
+		go func() {
+			_, body := book(vm, "k1", "pump 1")
+			answers <- body
+		}()
+	}
+	first := <-answers
+	assert.Equal(t, <-answers, first)
+	assert.Equal(t, <-answers, first)
+	assert.Equal(t, ledger.Runs("k1"), 1)
+	status, _ := book(1, "k1", "another body")
+	assert.Equal(t, status, http.StatusUnprocessableEntity)
+	// The answer is lost after the run: later arrivals learn that it is unknown.
+	s.SetFaults(service.Faults{CutAfter: true})
+	status, body := book(0, "k2", "pump 2")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Assert(t, strings.Contains(body, `"outcome":"unknown"`), body)
+	s.SetFaults(service.Faults{})
+	status, body = book(2, "k2", "pump 2")
+	assert.Equal(t, status, http.StatusConflict)
+	assert.Assert(t, strings.Contains(body, `"outcome":"unknown"`), body)
+	assert.Equal(t, ledger.Runs("k2"), 1)
+}
