--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -53,6 +54,21 @@
 	return nil
 }
 
+// MarshalJSON writes d as a number of milliseconds, for names that end in Ms.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return strconv.AppendInt(nil, int64(d), 10), nil
+}
+
+// UnmarshalJSON reads a number of milliseconds.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	n, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return &ParseError{Text: string(data)}
+	}
+	*d = Duration(n)
+	return nil
+}
+
 // FromStd rounds a time.Duration up to whole milliseconds.
 func FromStd(d time.Duration) Duration {
 	return Duration((d + time.Millisecond - 1) / time.Millisecond)
--- a/internal/node/admin/api.go
+++ b/internal/node/admin/api.go
@@ -6,6 +6,7 @@
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/control/replica"
 	"github.com/jasminecove/jasminecove/internal/fleet/link"
+	"github.com/jasminecove/jasminecove/internal/node/recovery"
 	"github.com/jasminecove/jasminecove/internal/request/filter"
 	"github.com/jasminecove/jasminecove/internal/routing/directory"
 	"github.com/jasminecove/jasminecove/internal/upstream/stagelink"
@@ -25,6 +26,7 @@
 	InFlight   int64                      `json:"inFlight"`
 	Links      link.Stats                 `json:"links"`
 	Stages     stagelink.Stats            `json:"stages"`
+	Recovery   recovery.Summary           `json:"recovery"` // From a stage's loss to the next token.
 	Violations int64                      `json:"violations"`
 }
 
--- a/internal/node/assembly/hooks.go
+++ b/internal/node/assembly/hooks.go
@@ -22,7 +22,10 @@
 			lost.Inc(1)
 			log.Debug("replica given up", "replica", replica, "reason", reason)
 		},
-		Recovered: func(took time.Duration) { recovered.Record(took) },
+		Recovered: func(took time.Duration) {
+			recovered.Record(took)
+			n.recoveries.Record(took)
+		},
 	}
 }
 
--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -26,6 +26,7 @@
 	"github.com/jasminecove/jasminecove/internal/node/admin"
 	"github.com/jasminecove/jasminecove/internal/node/controlplane"
 	"github.com/jasminecove/jasminecove/internal/node/front"
+	"github.com/jasminecove/jasminecove/internal/node/recovery"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/node/telemetry"
 	"github.com/jasminecove/jasminecove/internal/pipeline/driver"
@@ -58,13 +59,14 @@
 	violations *invariant.Counter
 	initial    []byte
 
-	dir       *directory.Directory
-	links     *stagelink.Set
-	limits    *filter.Limits
-	admission *filter.Admission
-	plane     *controlplane.Plane
-	accounts  *accounts.Store
-	front     *front.Front
+	dir        *directory.Directory
+	links      *stagelink.Set
+	limits     *filter.Limits
+	admission  *filter.Admission
+	plane      *controlplane.Plane
+	accounts   *accounts.Store
+	front      *front.Front
+	recoveries *recovery.Recorder
 
 	servers   []*http.Server
 	listeners []net.Listener
@@ -90,7 +92,7 @@
 	}
 	n := &Node{
 		settings: s, clock: clock.NewSystem(), tel: tel, log: tel.Log.Named("node"),
-		accounts: accounts.New(), drain: make(chan struct{}),
+		accounts: accounts.New(), recoveries: recovery.New(), drain: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(n)
--- a/internal/node/assembly/status.go
+++ b/internal/node/assembly/status.go
@@ -13,7 +13,7 @@
 		VM: n.settings.VM, DataCentre: n.settings.DataCentre, Ready: "yes",
 		Revision: n.plane.Current().GetNumber(), ViewAge: n.plane.Age(),
 		Pools: n.dir.View(), Admission: n.admission.Loads(), InFlight: n.front.InFlight(),
-		Links: n.plane.LinkStats(), Stages: n.links.Stats(), Violations: n.Violations(),
+		Links: n.plane.LinkStats(), Stages: n.links.Stats(), Violations: n.Violations(), Recovery: n.recoveries.Summary(),
 	}
 	if err := n.Ready(); err != nil {
 		s.Ready = err.Error()
