Remove a replaced replica as its successor's promotion commits; script failures of the real programs

Ruled out: lost entries (both survivors held all). Change: the agreement itself removes the old identity in the same message that tells of the promotion's commit; status says while a repair is not over. A request waits up to 1 s for the only replica of some layers.

--- /dev/null
+++ b/internal/cli/command/script_test.go
@@ -0,0 +1,89 @@
+package command_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/jasminecove/jasminecove/internal/cli/command"
+	"github.com/jasminecove/jasminecove/internal/cli/standincmd"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"jasminecove": command.Main,
+		"standin":     standincmd.Main,
+	})
+}
+
+// TestScripts runs the scenarios under testdata. Each starts the real programs
+// as processes of its own on free ports.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setPorts,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"fleet":    writeFleet,
+			"retry":    retry,
+			"cutfile":  cutFile,
+			"envsubst": envSubst,
+		},
+	})
+}
+
+// ports is the number of free ports that a script may use, as $P0 and so on.
+const ports = 24
+
+func setPorts(env *testscript.Env) error {
+	var held []net.Listener
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		held = append(held, l)
+		_, port, _ := net.SplitHostPort(l.Addr().String())
+		env.Setenv(fmt.Sprintf("P%d", i), port)
+	}
+	for _, l := range held {
+		_ = l.Close()
+	}
+	env.Setenv("HOME", env.WorkDir)
+	return nil
+}
+
+// writeFleet writes keys and settings of so many VMs, of which the first so many
+// have a disk: fleet VMS VOTERS. VM i uses ports P(4i) to P(4i+3) for callers,
+// upstreams, operators and the fleet.
+func writeFleet(ts *testscript.TestScript, _ bool, args []string) {
+	var vms, voters int
+	_, err := fmt.Sscan(args[0]+" "+args[1], &vms, &voters)
+	ts.Check(err)
+	seeds, names := "", ""
+	for i := range vms {
+		seeds += fmt.Sprintf("\"127.0.0.1:%s\", ", ts.Getenv(fmt.Sprint("P", 4*i+3)))
+		if i < voters {
+			names += fmt.Sprintf("vm%d, ", i)
+		}
+	}
+	ts.Check(ts.Exec("jasminecove", "keys", "authority", "-folder", "keys"))
+	for i := range vms {
+		ts.Check(ts.Exec("jasminecove", "keys", "issue", "-folder", "keys", fmt.Sprint("vm", i)))
+		port := func(k int) string { return ts.Getenv(fmt.Sprint("P", 4*i+k)) }
+		data := ""
+		if i < voters {
+			data = fmt.Sprintf("dataFolder: %s\n", ts.MkAbs(fmt.Sprint("data", i)))
+		}
+		text := fmt.Sprintf(`vm: vm%d
+dataCentre: dc%d
+%slisten: {callers: "127.0.0.1:%s", upstreams: "127.0.0.1:%s", operators: "127.0.0.1:%s", fleet: "127.0.0.1:%s"}
+fleet: {keys: %q, seeds: [%s], voters: [%s]}
+callers: {anonymous: true}
+drain: {notice: 100ms, limit: 10s}
+`, i, i%3, data, port(0), port(1), port(2), port(3), ts.MkAbs(fmt.Sprint("keys/vm", i)), seeds, names)
+		ts.Check(os.WriteFile(ts.MkAbs(fmt.Sprintf("vm%d.yaml", i)), []byte(text), 0o600))
+	}
+}
--- a/internal/control/raft/member.go
+++ b/internal/control/raft/member.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
@@ -58,6 +60,32 @@
 	return added, removed
 }
 
+// MembersCommitted reports whether the newest membership is committed.
+func (c *Core) MembersCommitted() bool { return c.members != nil && c.membersAt <= c.commit }
+
+// removeReplaced removes a voter whose VM has a later voter, as soon as the later
+// one's promotion is committed. The removal goes out with the news of the commit,
+// so that there is no time in which the lost replica still counts.
+func (c *Core) removeReplaced(now clock.Time) {
+	if c.role != Leader || c.transferTo != "" || !c.MembersCommitted() || c.commit < c.termStart {
+		return
+	}
+	for i, v := range c.members.Voters {
+		later := c.members.Voters[i+1:]
+		if !slices.ContainsFunc(later, func(r *fleetpb.Replica) bool { return r.Vm == v.Vm }) {
+			continue
+		}
+		next := proto.CloneOf(c.members)
+		next.Voters = slices.Delete(next.Voters, i, i+1)
+		c.appendEntry(&fleetpb.Entry{Membership: next})
+		c.trackMembers(now)
+		for _, id := range c.followers() {
+			c.replicate(id, c.progress[id])
+		}
+		return
+	}
+}
+
 // stepDownIfRemoved ends the lead of a replica that is no voter any more.
 func (c *Core) stepDownIfRemoved(now clock.Time) {
 	if c.commit >= c.membersAt && !c.isVoter(c.id) {
--- a/internal/control/raft/replicate.go
+++ b/internal/control/raft/replicate.go
@@ -230,6 +230,7 @@
 	c.commit = index
 	c.stepDownIfRemoved(now)
 	if c.role == Leader {
+		c.removeReplaced(now)
 		c.tellCommit()
 		c.confirmReads()
 	}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -104,6 +104,7 @@
 	Learners  []string       `json:"learners,omitempty"`
 	Claims    int            `json:"claims"`
 	Formed    bool           `json:"formed"`
+	Changing  bool           `json:"membershipChanging,omitempty"` // A repair is not over yet.
 	LeaseLeft clock.Duration `json:"leaseLeftMs"`
 	Fencing   uint64         `json:"fencing"`
 }
@@ -223,7 +224,7 @@
 	s := &Status{
 		ID: r.identity.Id, Role: r.core.Role().String(), Term: r.core.Term(), Leader: r.vms[r.core.Leader()],
 		Commit: r.core.Commit(), Last: r.core.LastIndex(), Snapshot: r.core.SnapshotIndex(),
-		Claims: r.state.Claims(), Formed: m != nil,
+		Claims: r.state.Claims(), Formed: m != nil, Changing: m != nil && !r.core.MembersCommitted(),
 	}
 	for _, v := range m.GetVoters() {
 		s.Voters = append(s.Voters, v.Vm)
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -14,11 +14,11 @@
 // wanted are replicas that asked to join, and VMs in retired leave the group.
 // caughtUp reports whether a learner durably holds what is committed.
 //
-// A replica of a VM whose disk was replaced first learns, then votes, and only
-// then is the VM's old identity removed.
+// A replica of a VM whose disk was replaced first learns and then votes. The
+// agreement itself removes the VM's old identity as soon as that is committed.
 func Next(members *fleetpb.Membership, wanted []*fleetpb.Replica, retired []string, caughtUp func(id string) bool) *fleetpb.Membership {
 	next := proto.CloneOf(members)
-	if learn(next, wanted, retired) || promote(next, caughtUp) || replaceOld(next) || retire(next, retired) {
+	if learn(next, wanted, retired) || promote(next, caughtUp) || retire(next, retired) {
 		return next
 	}
 	return nil
@@ -49,18 +49,6 @@
 	return false
 }
 
-// replaceOld removes a voter whose VM has a later voter.
-func replaceOld(next *fleetpb.Membership) bool {
-	for i, v := range next.Voters {
-		later := next.Voters[i+1:]
-		if slices.ContainsFunc(later, func(r *fleetpb.Replica) bool { return r.Vm == v.Vm }) {
-			next.Voters = slices.Delete(next.Voters, i, i+1)
-			return true
-		}
-	}
-	return false
-}
-
 // retire removes one replica of a VM that is to leave the group. The last voter
 // stays.
 func retire(next *fleetpb.Membership, retired []string) bool {
--- a/internal/pipeline/driver/tokenize.go
+++ b/internal/pipeline/driver/tokenize.go
@@ -14,17 +14,28 @@
 // Limits of tokenizing.
 const (
 	tokenizeTimeout = 2 * time.Second
-	tokenizeTries   = 4
+	tokenizeTries   = 8
+	// firstWait bounds the wait for the only replica of some layers.
+	firstWait = 1 * time.Second
 )
 
 // tokenize picks the first path and has its first engine turn the prompt into
-// the first layer's input. Nothing has run while it fails.
+// the first layer's input. Nothing has run while it fails. Where the only replica
+// of some layers cannot be reached for a moment, it waits for a short time.
 func (r *run) tokenize() (input []byte, count uint32, err error) {
 	var lost []string
-	for range tokenizeTries {
+	end := time.Now().Add(firstWait)
+	for {
 		path, err := r.firstPath(lost)
 		if err != nil {
-			return nil, 0, err
+			if len(lost) == 0 || time.Now().After(end) {
+				return nil, 0, err
+			}
+			lost = nil
+			if err := r.pause(); err != nil {
+				return nil, 0, err
+			}
+			continue
 		}
 		r.path = path
 		first := path[0].Replica
@@ -39,8 +50,20 @@
 		r.d.dir.Report(r.req.Pool, first, false)
 		r.lost = append(r.lost, LostReplica{Replica: first, Reason: "tokenize"})
 		lost = append(lost, first)
+		if len(r.lost) >= tokenizeTries {
+			return nil, 0, fmt.Errorf("pool %s: %w", r.req.Pool, ErrTokenize)
+		}
+	}
+}
+
+// pause waits between two looks for a path.
+func (r *run) pause() error {
+	select {
+	case <-r.ctx.Done():
+		return context.Cause(r.ctx)
+	case <-time.After(pathRetry):
+		return nil
 	}
-	return nil, 0, fmt.Errorf("pool %s: %w", r.req.Pool, ErrTokenize)
 }
 
 func (r *run) firstPath(lost []string) (path []session.Hop, err error) {
