Hold 95 in 100 token gaps to their target, and compare all replicas for a pick

Cause: at twice the bound the limit let token gaps grow to 100 ms, because it heard of an answer only at its end, some 10 s late, and judged by the mean. Change: the limit hears of gaps while answers are under way and shrinks when more than 5 in 100 are beyond the target; a pick compares up to 64 replicas by load for weight, with the draw of two kept as a policy of its own.

--- /dev/null
+++ b/internal/cli/standincmd/experiment.go
@@ -0,0 +1,73 @@
+package standincmd
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jasminecove/jasminecove/internal/standin/experiment"
+)
+
+// experimentCommand measures mixes, policies and loads side by side.
+func experimentCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("experiment", flag.ContinueOnError)
+	mixes := fs.String("mixes", "equal,accelerators,links,prefixes", "mixes to run")
+	policies := fs.String("policies", "planned,roundRobin,leastInFlight,random", "pick policies to run")
+	shares := fs.String("shares", "1.3", "offered loads as shares of the bound")
+	span := fs.Duration("span", 12*time.Second, "length of each load")
+	warmup := fs.Duration("warmup", 4*time.Second, "part of the load that is left out")
+	vms := fs.Int("vms", 3, "VMs")
+	seed := fs.Uint64("seed", 1, "seed of the load")
+	out := fs.String("json", "", "file for the results")
+	return &ffcli.Command{
+		Name: "experiment", ShortUsage: "standin experiment -mixes equal -shares 0.5,0.95", ShortHelp: "measure throughput and latency against the bound", FlagSet: fs,
+		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			var results []experiment.Result
+			for _, mix := range strings.Split(*mixes, ",") {
+				for _, policy := range strings.Split(*policies, ",") {
+					for _, share := range strings.Split(*shares, ",") {
+						cfg := experiment.Config{Mix: experiment.Mixes()[mix], Policy: policy, VMs: *vms, Duration: *span, Warmup: *warmup, Seed: *seed}
+						if _, err := fmt.Sscan(share, &cfg.Share); err != nil {
+							return fmt.Errorf("share %q: %w", share, err)
+						}
+						r, err := experiment.Run(ctx, cfg)
+						if err != nil {
+							return err
+						}
+						results = append(results, r)
+						printResult(r)
+					}
+				}
+			}
+			return writeResults(*out, results)
+		},
+	}
+}
+
+func printResult(r experiment.Result) {
+	l := r.Load
+	fmt.Printf("%-13s %-14s offered %.2f of %5.0f tokens/s: %5.0f (%.3f of the bound)  first %.0f/%.0f/%.0f ms  between %.1f/%.1f/%.1f ms  whole %.1f/s  verdicts %v  refusals %v in %.1f ms  violations %d  seed %d\n",
+		r.Mix, r.Policy, r.Share, r.Bound, l.PerSecond, r.OfBound, l.First.P50, l.First.P95, l.First.P99,
+		l.Between.P50, l.Between.P95, l.Between.P99, l.Goodput, l.Verdicts, l.Refusals, l.Refusal.P50, r.Broken, l.Seed)
+}
+
+// writeResults writes v as JSON to a file, if one is named.
+func writeResults(file string, v any) error {
+	if file == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode results: %w", err)
+	}
+	const mode = 0o644
+	return os.WriteFile(file, data, mode)
+}
--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -77,7 +77,7 @@
 )
 
 // PickPolicies are the names that Pool.Pick accepts.
-var PickPolicies = []string{"planned", "roundRobin", "leastInFlight", "random"}
+var PickPolicies = []string{"planned", "twoChoices", "roundRobin", "leastInFlight", "random"}
 
 // IsModel reports whether the pool's upstreams are engines.
 func (p Pool) IsModel() bool { return p.Model != "" }
--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -142,7 +142,7 @@
 		n.limits,
 		n.admission,
 		filter.NewClaim(n.plane.Client(), n.clock),
-		filter.NewForward(pipelines, filter.NewServices(n.dir, n.clock)),
+		filter.NewForward(pipelines, filter.NewServices(n.dir, n.clock), n.admission),
 	)
 }
 
--- a/internal/request/adaptive/adaptive.go
+++ b/internal/request/adaptive/adaptive.go
@@ -1,5 +1,6 @@
 // Package adaptive finds how many requests a pool takes at once. The limit grows
-// while latency stays within its bound and shrinks when it does not.
+// while nearly all latencies stay within their bound and shrinks when too many do
+// not.
 package adaptive
 
 import "github.com/jasminecove/jasminecove/internal/base/clock"
@@ -11,12 +12,16 @@
 	maxLimit   = 4096.0
 	window     = 200 * clock.Millisecond
 	growth     = 1.5  // Factor a window until latency was first too high.
-	increase   = 0.04 // Share added a window after that.
-	decrease   = 0.9  // Factor a window while latency is too high.
+	increase   = 0.03 // Share added a window after that.
+	decrease   = 0.93 // Factor a window while latency is too high.
 	// busyShare is the part of the limit that must be used for it to grow.
 	busyShare = 0.7
-	// tolerance is the ratio to the bound above which the limit shrinks.
-	tolerance = 1.0
+	// tooMany is the share of latencies beyond their bound at which the limit
+	// shrinks, and few the share below which it grows.
+	tooMany = 0.05
+	few     = 0.025
+	// minSamples is the least number of latencies that a window is judged by.
+	minSamples = 20
 )
 
 // Limit is the adaptive limit of one pool.
@@ -26,7 +31,7 @@
 	steady  bool // The first growth is over.
 	began   clock.Time
 	samples int
-	sum     float64
+	beyond  int // Samples beyond their bound.
 	peak    int
 }
 
@@ -53,21 +58,23 @@
 		l.began = now
 	}
 	l.samples++
-	l.sum += ratio
+	if ratio > 1 {
+		l.beyond++
+	}
 	l.peak = max(l.peak, inFlight)
-	if now.Sub(l.began) < window {
+	if now.Sub(l.began) < window || l.samples < minSamples {
 		return
 	}
-	l.adjust(l.sum / float64(l.samples))
-	l.began, l.samples, l.sum, l.peak = now, 0, 0, 0
+	l.adjust(float64(l.beyond) / float64(l.samples))
+	l.began, l.samples, l.beyond, l.peak = now, 0, 0, 0
 }
 
-func (l *Limit) adjust(mean float64) {
+func (l *Limit) adjust(beyond float64) {
 	switch {
-	case mean > tolerance:
+	case beyond > tooMany:
 		l.steady = true
 		l.limit = max(minLimit, l.limit*decrease)
-	case float64(l.peak) < busyShare*l.limit:
+	case beyond > few || float64(l.peak) < busyShare*l.limit:
 		return
 	case !l.steady:
 		l.limit = min(maxLimit, l.limit*growth)
--- a/internal/request/filter/admission.go
+++ b/internal/request/filter/admission.go
@@ -107,28 +107,30 @@
 	defer f.mu.Unlock()
 	p := f.pool(x)
 	now := f.clock.Now()
-	if ratio, ok := f.ratio(x, took); ok {
-		p.limit.Observe(now, ratio, p.queue.InFlight())
+	if x.Model == nil && x.Outcome == refusal.Complete {
+		p.limit.Observe(now, ratio(took, f.targets.ServiceCall), p.queue.InFlight())
 	}
 	p.answer(p.queue.Done(now, x.Organisation, clock.FromStd(took)))
 	p.answer(p.queue.SetLimit(now, p.limit.Value()))
 }
 
-// ratio is a request's latency relative to its target.
-func (f *Admission) ratio(x *exchange.Exchange, took time.Duration) (float64, bool) {
-	if x.Outcome != refusal.Complete {
-		return 0, false
-	}
-	ms := float64(took) / float64(time.Millisecond)
-	if x.Model == nil {
-		return ms / float64(f.targets.ServiceCall), true
-	}
-	s := x.Account.Session
-	if s == nil || s.Tokens < 2 {
-		return 0, false
+// TokenGap tells the limit of the time between two tokens of an answer, while
+// the answer is still under way.
+func (f *Admission) TokenGap(x *exchange.Exchange, gap time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pool(x)
+	now := f.clock.Now()
+	before := p.limit.Value()
+	p.limit.Observe(now, ratio(gap, f.targets.BetweenTokens), p.queue.InFlight())
+	if after := p.limit.Value(); after != before {
+		p.answer(p.queue.SetLimit(now, after))
 	}
-	first := float64(x.Account.FirstToken - x.Account.Queued)
-	return (ms - first) / float64(s.Tokens-1) / float64(f.targets.BetweenTokens), true
+}
+
+// ratio is a latency relative to its target.
+func ratio(took time.Duration, target clock.Duration) float64 {
+	return float64(took) / float64(target.Std())
 }
 
 // Run refuses the tickets that have waited too long, until ctx ends.
--- a/internal/request/filter/complete.go
+++ b/internal/request/filter/complete.go
@@ -25,10 +25,21 @@
 type Forward struct {
 	pipelines Pipelines
 	services  *Services
+	gaps      Gaps
 }
 
+// Gaps hears of the time between tokens.
+type Gaps interface {
+	TokenGap(x *exchange.Exchange, gap time.Duration)
+}
+
+// gapEvery is the share of gaps that Gaps hears of, one in so many.
+const gapEvery = 8
+
 // NewForward returns the filter.
-func NewForward(p Pipelines, s *Services) *Forward { return &Forward{pipelines: p, services: s} }
+func NewForward(p Pipelines, s *Services, gaps Gaps) *Forward {
+	return &Forward{pipelines: p, services: s, gaps: gaps}
+}
 
 // Name implements exchange.Filter.
 func (f *Forward) Name() string { return "forward" }
@@ -45,10 +56,15 @@
 	answer := completion.New(x.W, x.ID, completion.Form{
 		Model: x.Model.Model, Chat: x.Model.Chat, Stream: x.Model.Stream, Usage: x.Model.Usage,
 	})
+	var last time.Time
 	emit := func(t driver.Token) error {
+		now := time.Now()
 		if t.Index == 0 {
-			x.Account.FirstToken = clock.FromStd(time.Since(x.Received))
+			x.Account.FirstToken = clock.FromStd(now.Sub(x.Received))
+		} else if t.Index%gapEvery == 0 {
+			f.gaps.TokenGap(x, now.Sub(last))
 		}
+		last = now
 		return answer.Token(t.Text)
 	}
 	req := driver.Request{Pool: x.Pool.Name, Prompt: x.Model.Prompt, MaxTokens: x.Model.MaxTokens, Priority: x.Priority}
--- a/internal/routing/directory/path.go
+++ b/internal/routing/directory/path.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		next.replicas = append(next.replicas, u)
-		replicas = append(replicas, plan.Replica{ID: u.Id, From: u.LayerFrom, To: u.LayerTo, Rate: u.TokensPerSecond})
+		replicas = append(replicas, plan.Replica{ID: u.Id, From: u.LayerFrom, To: u.LayerTo, Rate: rateOf(u)})
 	}
 	if p.IsModel() {
 		next.plan = plan.Compute(p.Layers, replicas)
@@ -97,6 +97,15 @@
 	return next
 }
 
+// rateOf returns the tokens a second that a replica can serve: the least of its
+// compute and its link, which carries a position each way.
+func rateOf(u *registry.Upstream) float64 {
+	if u.LinkBytesPerSecond <= 0 || u.PositionBytes == 0 {
+		return u.TokensPerSecond
+	}
+	return min(u.TokensPerSecond, u.LinkBytesPerSecond/float64(u.PositionBytes))
+}
+
 // members returns the live upstreams that a pool selects.
 func (d *Directory) members(p tables.Pool) []*registry.Upstream {
 	var out []*registry.Upstream
@@ -203,7 +212,7 @@
 			planned = append(planned, w.d.candidate(w.now, u, weight))
 			continue
 		}
-		others = append(others, w.d.candidate(w.now, u, u.TokensPerSecond+1))
+		others = append(others, w.d.candidate(w.now, u, rateOf(u)+1))
 	}
 	if len(planned) > 0 {
 		return planned
--- a/internal/routing/pick/pick.go
+++ b/internal/routing/pick/pick.go
@@ -21,12 +21,16 @@
 	ReportAge clock.Duration
 }
 
-// Load is the requests on the candidate for its weight, had it one more. A
-// report counts less the older it is.
+// half is added to the requests in flight before they are compared, so that a
+// request goes where the share stays nearest to the weight.
+const half = 0.5
+
+// Load is the requests on the candidate for its weight, had it half a one more.
+// A report counts less the older it is.
 func (c Candidate) Load() float64 {
 	trust := 1 - float64(c.ReportAge)/float64(reportLife)
 	others := max(0, trust) * float64(c.Reported)
-	return (float64(c.InFlight) + others + 1) / c.Weight
+	return (float64(c.InFlight) + others + half) / c.Weight
 }
 
 // Policy chooses the index of a candidate. There is at least one.
@@ -44,16 +48,42 @@
 		return LeastInFlight{}
 	case "random":
 		return Random{}
+	case "twoChoices":
+		return TwoChoices{}
 	}
 	return Planned{}
 }
 
-// Planned draws two candidates by weight and takes the one with less load for
-// its weight.
+// maxCompared is the number of candidates up to which Planned compares all.
+const maxCompared = 64
+
+// Planned takes the candidate with the least load for its weight. Among many
+// candidates it compares two that are drawn by weight, which costs less and does
+// not send every VM to the same one.
 type Planned struct{}
 
 // Pick implements Policy.
 func (Planned) Pick(src *rng.Source, candidates []Candidate) int {
+	if len(candidates) > maxCompared {
+		return TwoChoices{}.Pick(src, candidates)
+	}
+	start := src.IntN(len(candidates))
+	best := start
+	for i := range candidates {
+		at := (start + i) % len(candidates)
+		if candidates[at].Load() < candidates[best].Load() {
+			best = at
+		}
+	}
+	return best
+}
+
+// TwoChoices draws two candidates by weight and takes the one with less load for
+// its weight.
+type TwoChoices struct{}
+
+// Pick implements Policy.
+func (TwoChoices) Pick(src *rng.Source, candidates []Candidate) int {
 	if len(candidates) == 1 {
 		return 0
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -148,7 +148,7 @@
 		Accelerator: e.accelerator, TokensPerSecond: e.speed,
 		Address: e.listener.Addr().String(), Leaving: e.faults.Leaving,
 		LeaseMs: uint32(e.lease), DataCentre: e.dataCentre,
-		LinkBytesPerSecond: e.linkRate, Fencing: e.fencing,
+		LinkBytesPerSecond: e.linkRate, PositionBytes: uint32(e.width), Fencing: e.fencing,
 		Load: &upstreampb.LoadReport{Running: uint32(len(e.sessions)), Queued: uint32(len(e.work)), CacheUsed: used},
 	}
 }
--- /dev/null
+++ b/internal/standin/experiment/experiment.go
@@ -0,0 +1,190 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/fault"
+	"github.com/jasminecove/jasminecove/internal/node/settings"
+	"github.com/jasminecove/jasminecove/internal/standin/engine"
+	"github.com/jasminecove/jasminecove/internal/standin/load"
+	"github.com/jasminecove/jasminecove/internal/standin/local"
+)
+
+// ErrUpstreams reports engines that were not known in time.
+const ErrUpstreams = fault.Sentinel("experiment: the engines were not known in time")
+
+// Sizes of an experiment.
+const (
+	readyBound   = 30 * time.Second
+	outputTokens = 100
+	// rampWait lets slow start pass before anything is measured.
+	rampWait = 5 * time.Second
+)
+
+// Config describes one experiment.
+type Config struct {
+	Mix         Mix
+	Policy      string
+	VMs         int
+	Share       float64 // Offered load as a share of the bound.
+	Duration    time.Duration
+	Warmup      time.Duration
+	Seed        uint64
+	Callers     []load.Organisation
+	Change      func(*settings.Settings)
+	Concurrency int // 0 is adaptive.
+}
+
+// Result is the outcome of one experiment.
+type Result struct {
+	Mix     string      `json:"mix"`
+	Policy  string      `json:"policy"`
+	Share   float64     `json:"offeredShare"`
+	Bound   float64     `json:"boundTokensPerSecond"`
+	OfBound float64     `json:"ofBound"`
+	Load    load.Report `json:"load"`
+	Broken  int64       `json:"invariantViolations"`
+}
+
+// Bench is a running fleet with a mix of engines.
+type Bench struct {
+	Fleet   *local.Fleet
+	Engines map[string]*engine.Engine
+	folder  string
+	mix     Mix
+}
+
+// Open starts the fleet and the engines of an experiment.
+func Open(ctx context.Context, cfg Config) (*Bench, error) {
+	folder, err := os.MkdirTemp("", "jasminecove-experiment-")
+	if err != nil {
+		return nil, fmt.Errorf("make folder: %w", err)
+	}
+	b := &Bench{Engines: map[string]*engine.Engine{}, folder: folder, mix: cfg.Mix}
+	b.Fleet, err = local.New(local.Config{
+		Folder: folder, VMs: cfg.VMs, Voters: min(cfg.VMs, 3), DataCentres: 3, Logs: io.Discard,
+		Tables: []byte(tables(cfg)), Change: cfg.Change,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := b.Fleet.StartAll(ctx, readyBound); err != nil {
+		return nil, err
+	}
+	for i, spec := range cfg.Mix.Engines {
+		if err := b.StartEngine(ctx, spec, i); err != nil {
+			return nil, err
+		}
+	}
+	return b, b.awaitEngines(ctx)
+}
+
+func tables(cfg Config) string {
+	return fmt.Sprintf(`routes:
+  - {name: chat, match: {model: crew}, pool: crew}
+  - {name: bookings, match: {pathPrefix: /bookings, methods: [POST]}, pool: desk, deadline: 10s}
+pools:
+  - {name: crew, model: crew, layers: %d, pick: %s, concurrency: %d}
+  - {name: desk, service: desk}
+`, Layers, cfg.Policy, cfg.Concurrency)
+}
+
+// StartEngine starts one engine, which announces itself to the i-th VM first.
+func (b *Bench) StartEngine(ctx context.Context, spec EngineSpec, i int) error {
+	e := engine.New(spec.ID, spec.options(b.Fleet.UpstreamsURLs(i))...)
+	if err := e.Start(ctx, "127.0.0.1:0"); err != nil {
+		return err
+	}
+	b.Engines[spec.ID] = e
+	return nil
+}
+
+func (b *Bench) awaitEngines(ctx context.Context) error {
+	for end := time.Now().Add(readyBound); time.Now().Before(end); {
+		known := true
+		for _, n := range b.Fleet.Running() {
+			known = known && len(n.Status().Pools[0].Upstreams) == len(b.mix.Engines)
+		}
+		if known {
+			return nil
+		}
+		if err := pause(ctx, 10*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return ErrUpstreams
+}
+
+// Bound returns the tokens a second that the engines can serve.
+func (b *Bench) Bound() float64 { return b.Fleet.Running()[0].Status().Pools[0].Bound }
+
+// Targets returns the callers' addresses.
+func (b *Bench) Targets() []string {
+	var out []string
+	for _, n := range b.Fleet.Running() {
+		out = append(out, "http://"+n.CallersAddress())
+	}
+	return out
+}
+
+// Violations returns the broken invariants on all VMs.
+func (b *Bench) Violations() int64 {
+	sum := int64(0)
+	for _, n := range b.Fleet.Running() {
+		sum += n.Violations()
+	}
+	return sum
+}
+
+// Close stops everything.
+func (b *Bench) Close() {
+	for _, e := range b.Engines {
+		e.Kill()
+	}
+	if b.Fleet != nil {
+		b.Fleet.Stop()
+	}
+	_ = os.RemoveAll(b.folder)
+}
+
+// LoadConfig returns the load that offers a share of the bound.
+func (b *Bench) LoadConfig(cfg Config) load.Config {
+	return load.Config{
+		Targets: b.Targets(), Model: "crew", Layers: Layers, Rate: cfg.Share * b.Bound() / outputTokens, Arrivals: "poisson",
+		Duration: cfg.Duration, Warmup: cfg.Warmup, PromptWords: cfg.Mix.Words, OutputTokens: outputTokens,
+		Prefixes: cfg.Mix.Prefixes, Seed: cfg.Seed, Callers: cfg.Callers,
+	}
+}
+
+// Run runs one experiment from start to end.
+func Run(ctx context.Context, cfg Config) (Result, error) {
+	b, err := Open(ctx, cfg)
+	if b != nil {
+		defer b.Close()
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	if err := pause(ctx, rampWait); err != nil {
+		return Result{}, err
+	}
+	bound := b.Bound()
+	report := load.Run(ctx, b.LoadConfig(cfg))
+	return Result{
+		Mix: cfg.Mix.Name, Policy: cfg.Policy, Share: cfg.Share, Bound: bound,
+		OfBound: report.PerSecond / bound, Load: report, Broken: b.Violations(),
+	}, nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
