--- a/internal/cli/standincmd/experiment.go
+++ b/internal/cli/standincmd/experiment.go
@@ -71,3 +71,51 @@
 	const mode = 0o644
 	return os.WriteFile(file, data, mode)
 }
+
+// deathsCommand kills engines under load.
+func deathsCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("deaths", flag.ContinueOnError)
+	deaths := fs.Int("deaths", 100, "engines to kill")
+	every := fs.Duration("every", 250*time.Millisecond, "span between deaths")
+	back := fs.Duration("back", 700*time.Millisecond, "span after which a dead engine starts again")
+	silent := fs.Bool("silent", false, "engines go silent in place of ending")
+	share := fs.Float64("share", 0.4, "offered load as a share of the bound")
+	seed := fs.Uint64("seed", 1, "seed")
+	out := fs.String("json", "", "file for the result")
+	return &ffcli.Command{
+		Name: "deaths", ShortUsage: "standin deaths -deaths 1000", ShortHelp: "kill engines in the middle of answers", FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			cfg := experiment.DeathConfig{Deaths: *deaths, Every: *every, Back: *back, Silent: *silent}
+			cfg.Config = experiment.Config{Mix: experiment.Mixes()["equal"], Policy: "planned", VMs: 3, Share: *share, Seed: *seed}
+			r, err := experiment.RunDeaths(ctx, cfg)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("deaths %d silent %v verdicts %v refusals %v recovery %+v tokens/s %.0f violations %d seed %d\n",
+				r.Deaths, r.Silent, r.Load.Verdicts, r.Load.Refusals, r.Recovery, r.Load.PerSecond, r.Broken, *seed)
+			return writeResults(*out, r)
+		},
+	}
+}
+
+// bookingsCommand sends bookings under failures.
+func bookingsCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("bookings", flag.ContinueOnError)
+	count := fs.Int("count", 10_000, "bookings to send")
+	workers := fs.Int("workers", 64, "callers at once")
+	seed := fs.Uint64("seed", 1, "seed")
+	out := fs.String("json", "", "file for the result")
+	return &ffcli.Command{
+		Name: "bookings", ShortUsage: "standin bookings -count 100000", ShortHelp: "send bookings while services and VMs are killed", FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			cfg := experiment.BookingConfig{Bookings: *count, Workers: *workers, Services: 3}
+			cfg.Config = experiment.Config{Mix: experiment.Mix{Name: "none"}, Policy: "planned", VMs: 3, Seed: *seed}
+			r, err := experiment.RunBookings(ctx, cfg)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%+v seed %d\n", r, *seed)
+			return writeResults(*out, r)
+		},
+	}
+}
--- a/internal/cli/standincmd/standincmd.go
+++ b/internal/cli/standincmd/standincmd.go
@@ -37,7 +37,7 @@
 	return &ffcli.Command{
 		Name:        "standin",
 		ShortUsage:  "standin <engine|service|ask|load|fault|inflight> [flags]",
-		Subcommands: []*ffcli.Command{engineCommand(), serviceCommand(), askCommand(), inFlightCommand(), faultCommand(), experimentCommand()},
+		Subcommands: []*ffcli.Command{engineCommand(), serviceCommand(), askCommand(), inFlightCommand(), faultCommand(), experimentCommand(), deathsCommand(), bookingsCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +40,9 @@
 	Call(ctx context.Context, vm string, c *fleetpb.Call) (*fleetpb.Reply, error)
 	// Replicas names the VMs that have a replica, as far as is known.
 	Replicas() []string
+	// Boot returns the number of a VM's present process, which grows with each
+	// start. gone says that the VM is dead or has left.
+	Boot(vm string) (boot uint64, gone, known bool)
 }
 
 // Client is a VM's way to the leader.
@@ -76,7 +81,8 @@
 
 // Claim implements filter.Claims.
 func (c *Client) Claim(ctx context.Context, b *fleetpb.ClaimBooking) (*fleetpb.Result, error) {
-	b.Owner = c.vm
+	boot, _, _ := c.fleet.Boot(c.vm)
+	b.Owner = fmt.Sprintf("%s#%d", c.vm, boot)
 	return c.Propose(ctx, &fleetpb.Command{Body: &fleetpb.Command_Claim{Claim: b}})
 }
 
@@ -92,6 +98,16 @@
 	return reply.GetClaim(), err
 }
 
+// OwnerLost implements filter.Claims.
+func (c *Client) OwnerLost(owner string) bool {
+	vm, number, ok := strings.Cut(owner, "#")
+	if !ok {
+		return false
+	}
+	boot, gone, known := c.fleet.Boot(vm)
+	return known && (gone || strconv.FormatUint(boot, 10) != number)
+}
+
 // call tries VMs until one that leads has answered.
 func (c *Client) call(ctx context.Context, call *fleetpb.Call) (*fleetpb.Reply, error) {
 	if _, ok := ctx.Deadline(); !ok {
--- a/internal/node/assembly/assembly_test.go
+++ b/internal/node/assembly/assembly_test.go
@@ -144,3 +144,18 @@
 	}
 	assert.Equal(t, ledger.Runs("pump 7"), 1)
 }
+
+// TestEngineThatStartsAgainIsUsedAgain kills the only replica of a stage and
+// starts it under the same id at another address.
+func TestEngineThatStartsAgainIsUsedAgain(t *testing.T) {
+	n := newNode(t)
+	defer n.Stop()
+	engines := startEngines(t, n, 1)
+	assert.Equal(t, complete(t, n, 5), reference(5))
+	engines[1].Kill()
+	again := engine.New("e1a", engine.WithModel("crew", "1", layers), engine.WithLayers(4, 8),
+		engine.WithSpeed(5000), engine.WithAnnounceTo("http://"+n.UpstreamsAddress()))
+	assert.NilError(t, again.Start(t.Context(), "127.0.0.1:0"))
+	defer again.Kill()
+	assert.Equal(t, complete(t, n, 50), reference(50))
+}
--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -237,6 +237,10 @@
 		n.log.Info("upstream is leaving", "upstream", id)
 		n.links.Leaving(id)
 	}
+	for _, id := range c.Moved {
+		n.log.Info("upstream started again at another address", "upstream", id)
+		n.links.Drop(id)
+	}
 	for _, id := range c.Ended {
 		n.log.Info("upstream lease ended", "upstream", id)
 		n.links.Drop(id)
--- a/internal/node/controlplane/calls.go
+++ b/internal/node/controlplane/calls.go
@@ -76,6 +76,17 @@
 	return out
 }
 
+// Boot implements client.Fleet.
+func (f fleet) Boot(vm string) (boot uint64, gone, known bool) {
+	f.p.mu.Lock()
+	defer f.p.mu.Unlock()
+	m, ok := f.p.gossip.Member(vm)
+	if !ok {
+		return 0, false, false
+	}
+	return m.Boot, m.State == fleetpb.Member_DEAD || m.State == fleetpb.Member_LEFT, true
+}
+
 // DrainVM asks a VM to drain.
 func (p *Plane) DrainVM(ctx context.Context, vm string) error {
 	if vm == p.cfg.Settings.VM {
--- a/internal/pipeline/driver/run.go
+++ b/internal/pipeline/driver/run.go
@@ -176,14 +176,15 @@
 	l.Send(c.Frame)
 }
 
-// link returns the link to a replica, joined by this session.
+// link returns the link to a replica, joined by this session. A replica that
+// started again has another address and another link.
 func (r *run) link(replica string) *stagelink.Link {
-	if l := r.links[replica]; l != nil {
-		return l
-	}
 	u, ok := r.d.dir.Upstream(replica)
 	if !ok {
-		return nil
+		return r.links[replica]
+	}
+	if l := r.links[replica]; l != nil && l.Address() == u.Address {
+		return l
 	}
 	l, err := r.d.links.Get(replica, u.Address)
 	if err != nil {
@@ -238,8 +239,9 @@
 func (r *run) unreachable(replicas []string) []string {
 	var out []string
 	for _, replica := range replicas {
+		u, live := r.d.dir.Upstream(replica)
 		l := r.links[replica]
-		if _, live := r.d.dir.Upstream(replica); !live || l == nil || !l.Up() {
+		if !live || l != nil && l.Address() == u.Address && !l.Up() {
 			out = append(out, replica)
 		}
 	}
--- a/internal/request/filter/claim.go
+++ b/internal/request/filter/claim.go
@@ -43,6 +43,9 @@
 	Settle(ctx context.Context, s *fleetpb.SettleClaim) error
 	// Lookup reads a claim, or nil.
 	Lookup(ctx context.Context, key string) (*fleetpb.ClaimRecord, error)
+	// OwnerLost reports whether the process that made a claim has ended, so that
+	// nobody will settle it any more.
+	OwnerLost(owner string) bool
 }
 
 // Claim makes a non-idempotent call with a key run at most once, through
@@ -141,7 +144,7 @@
 			return replay(x.W, record.Outcome)
 		}
 		pending := record.Outcome.GetKind() == fleetpb.Outcome_PENDING
-		if !pending || f.clock.Now().Sub(clock.Time(record.AtMs)) > pendingLife {
+		if !pending || f.claims.OwnerLost(record.Owner) || f.clock.Now().Sub(clock.Time(record.AtMs)) > pendingLife {
 			return refusal.New(refusal.BookingUnknown, http.StatusConflict, "it is not known whether the booking ran; it will not be run again").
 				WithOutcome(refusal.Unknown)
 		}
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -36,6 +36,7 @@
 	Digests []*fleetpb.Digest // To be told to other VMs.
 	Leaving []string          // Upstreams that began to leave.
 	Ended   []string          // Upstreams whose lease ended.
+	Moved   []string          // Upstreams that are at another address now.
 }
 
 // Directory is the routing state of one VM.
@@ -110,14 +111,34 @@
 	if d.registry.Announce(now, a) {
 		change.Digests = append(change.Digests, d.registry.DigestOf(now, a.Id))
 	}
-	if a.Leaving && known && !was.Leaving {
-		change.Leaving = append(change.Leaving, a.Id)
+	if known {
+		d.compare(was, a, &change)
 	}
 	d.mu.Unlock()
 	d.tell(change)
 	return registry.RenewSpan(clock.Duration(a.LeaseMs))
 }
 
+// compare notes what a newer announcement of a known upstream changes.
+func (d *Directory) compare(was *registry.Upstream, a *upstreampb.Announcement, change *Change) {
+	if a.Leaving && !was.Leaving {
+		change.Leaving = append(change.Leaving, a.Id)
+	}
+	if a.Address != was.Address {
+		// It was started again: what was learnt of its past says nothing now.
+		change.Moved = append(change.Moved, a.Id)
+		d.forget(a.Id)
+	}
+}
+
+// forget drops what was learnt of an upstream.
+func (d *Directory) forget(id string) {
+	d.health.Forget(id)
+	d.pace.Forget(id)
+	delete(d.down, id)
+	d.changes++
+}
+
 // TakeDigests takes other VMs' word about upstreams. It returns those that were
 // news.
 func (d *Directory) TakeDigests(digests []*fleetpb.Digest) []*fleetpb.Digest {
@@ -135,8 +156,8 @@
 		if known && !live {
 			change.Ended = append(change.Ended, g.Id)
 		}
-		if known && live && is.Leaving && !was.Leaving {
-			change.Leaving = append(change.Leaving, g.Id)
+		if known && live {
+			d.compare(was, is.Announcement, &change)
 		}
 	}
 	d.mu.Unlock()
@@ -149,8 +170,7 @@
 	d.mu.Lock()
 	ended := d.registry.Expire(d.clock.Now())
 	for _, g := range ended {
-		d.health.Forget(g.Id)
-		d.pace.Forget(g.Id)
+		d.forget(g.Id)
 	}
 	d.mu.Unlock()
 	change := Change{Digests: ended}
@@ -250,7 +270,7 @@
 }
 
 func (d *Directory) tell(c Change) {
-	if d.watcher == nil || len(c.Digests)+len(c.Leaving)+len(c.Ended) == 0 {
+	if d.watcher == nil || len(c.Digests)+len(c.Leaving)+len(c.Ended)+len(c.Moved) == 0 {
 		return
 	}
 	d.watcher(c)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -93,6 +93,13 @@
 	return e.tokens
 }
 
+// Sessions returns the sessions whose cache the engine holds.
+func (e *Engine) Sessions() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions)
+}
+
 // Start listens on address and announces the engine until ctx ends.
 func (e *Engine) Start(ctx context.Context, address string) error {
 	listener, err := net.Listen("tcp", address)
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -13,6 +13,7 @@
 	NoAnnounce bool `json:"noAnnounce"` // Stop announcing.
 	Silent     bool `json:"silent"`     // Open streams carry nothing any more; new ones work.
 	Stall      bool `json:"stall"`      // Answer probes but run nothing.
+	Deaf       bool `json:"deaf"`       // Answer no probes, on new streams neither.
 	Twice      bool `json:"twice"`      // Send every result twice.
 	DropCache  bool `json:"dropCache"`  // Lose all caches, once.
 	Late       bool `json:"late"`       // Send every result again, late.
@@ -30,7 +31,7 @@
 		f.DropCache = false
 	}
 	e.faults = f
-	if f.Silent {
+	if f.Silent || f.Deaf {
 		for c := range e.conns {
 			c.silence()
 		}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -50,6 +50,7 @@
 	s := &stream{conn: conn, queue: make(chan delayed, sendQueue), closed: make(chan struct{})}
 	e.mu.Lock()
 	e.conns[s] = struct{}{}
+	s.silent = e.faults.Deaf
 	e.mu.Unlock()
 	go s.write(e.linkRate)
 	e.read(ctx, s, framing.NewReader(buf.Reader))
--- /dev/null
+++ b/internal/standin/experiment/deaths.go
@@ -0,0 +1,89 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/node/recovery"
+	"github.com/jasminecove/jasminecove/internal/standin/engine"
+	"github.com/jasminecove/jasminecove/internal/standin/load"
+)
+
+// DeathConfig describes a run in which engines die under load.
+type DeathConfig struct {
+	Config
+	Deaths int
+	Every  time.Duration
+	Back   time.Duration // After which a dead engine starts again.
+	Silent bool          // Engines go silent in place of ending.
+}
+
+// DeathResult is the outcome of such a run.
+type DeathResult struct {
+	Deaths   int                `json:"deaths"`
+	Silent   bool               `json:"silent"`
+	Recovery []recovery.Summary `json:"recoveryByVM"`
+	Load     load.Report        `json:"load"`
+	Broken   int64              `json:"invariantViolations"`
+}
+
+// RunDeaths kills one engine after another under load, each of which comes back
+// empty under its id.
+func RunDeaths(ctx context.Context, cfg DeathConfig) (DeathResult, error) {
+	b, err := Open(ctx, cfg.Config)
+	if b != nil {
+		defer b.Close()
+	}
+	if err != nil {
+		return DeathResult{}, err
+	}
+	cfg.Duration = time.Duration(cfg.Deaths)*cfg.Every + 2*cfg.Back
+	report := make(chan load.Report, 1)
+	go func() { report <- load.Run(ctx, b.LoadConfig(cfg.Config)) }()
+	src := rng.New(cfg.Seed)
+	for range cfg.Deaths {
+		if err := pause(ctx, cfg.Every); err != nil {
+			return DeathResult{}, err
+		}
+		b.kill(ctx, cfg, src)
+	}
+	result := DeathResult{Deaths: cfg.Deaths, Silent: cfg.Silent, Load: <-report, Broken: b.Violations()}
+	for _, n := range b.Fleet.Running() {
+		result.Recovery = append(result.Recovery, n.Status().Recovery)
+	}
+	return result, nil
+}
+
+// kill ends a random engine and starts it again later. At most one of a stage is
+// dead at a time.
+func (b *Bench) kill(ctx context.Context, cfg DeathConfig, src *rng.Source) {
+	i := src.IntN(len(b.mix.Engines))
+	spec := b.mix.Engines[i]
+	b.mu.Lock()
+	e, stageDown := b.Engines[spec.ID], b.down[spec.From]
+	if e == nil || stageDown {
+		b.mu.Unlock()
+		return
+	}
+	b.down[spec.From] = true
+	delete(b.Engines, spec.ID)
+	b.deaths++
+	b.mu.Unlock()
+	if cfg.Silent {
+		e.SetFaults(engine.Faults{NoAnnounce: true, Stall: true, Deaf: true})
+	} else {
+		e.Kill()
+	}
+	time.AfterFunc(cfg.Back, func() {
+		if cfg.Silent {
+			e.Kill()
+		}
+		b.mu.Lock()
+		b.down[spec.From] = false
+		b.mu.Unlock()
+		if ctx.Err() == nil {
+			_ = b.StartEngine(ctx, spec, i)
+		}
+	})
+}
--- a/internal/standin/experiment/experiment.go
+++ b/internal/standin/experiment/experiment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/fault"
@@ -52,10 +53,14 @@
 
 // Bench is a running fleet with a mix of engines.
 type Bench struct {
-	Fleet   *local.Fleet
+	Fleet  *local.Fleet
+	folder string
+	mix    Mix
+
+	mu      sync.Mutex // Guards what follows, and Fleet.Nodes.
 	Engines map[string]*engine.Engine
-	folder  string
-	mix     Mix
+	down    map[uint32]bool // First layers of stages of which an engine is dead.
+	deaths  int
 }
 
 // Open starts the fleet and the engines of an experiment.
@@ -64,7 +69,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make folder: %w", err)
 	}
-	b := &Bench{Engines: map[string]*engine.Engine{}, folder: folder, mix: cfg.Mix}
+	b := &Bench{Engines: map[string]*engine.Engine{}, down: map[uint32]bool{}, folder: folder, mix: cfg.Mix}
 	b.Fleet, err = local.New(local.Config{
 		Folder: folder, VMs: cfg.VMs, Voters: min(cfg.VMs, 3), DataCentres: 3, Logs: io.Discard,
 		Tables: []byte(tables(cfg)), Change: cfg.Change,
@@ -99,10 +104,49 @@
 	if err := e.Start(ctx, "127.0.0.1:0"); err != nil {
 		return err
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.Engines[spec.ID] = e
 	return nil
 }
 
+// urls returns where upstreams announce themselves, the i-th VM first.
+func (b *Bench) urls(i int) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Fleet.UpstreamsURLs(i)
+}
+
+// targets returns the callers' addresses of the running VMs.
+func (b *Bench) targets() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Targets()
+}
+
+// stopVM ends a VM at once.
+func (b *Bench) stopVM(i int) {
+	b.mu.Lock()
+	n := b.Fleet.Nodes[i]
+	b.Fleet.Nodes[i] = nil
+	b.mu.Unlock()
+	if n != nil {
+		n.Stop()
+	}
+}
+
+// startVM starts a VM again on the addresses that it had.
+func (b *Bench) startVM(i int) error {
+	n, err := b.Fleet.Open(context.Background(), i)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Fleet.Nodes[i] = n
+	return nil
+}
+
 func (b *Bench) awaitEngines(ctx context.Context) error {
 	for end := time.Now().Add(readyBound); time.Now().Before(end); {
 		known := true
--- a/internal/standin/local/local.go
+++ b/internal/standin/local/local.go
@@ -108,17 +108,30 @@
 
 // Start starts or restarts one VM.
 func (f *Fleet) Start(ctx context.Context, i int) error {
-	n, err := assembly.New(f.Settings[i], f.cfg.Logs, assembly.WithInitialTables(f.cfg.Tables))
+	n, err := f.Open(ctx, i)
 	if err != nil {
 		return err
 	}
-	if err := n.Start(ctx); err != nil {
-		return err
-	}
 	f.Nodes[i] = n
 	return nil
 }
 
+// Open starts one VM without counting it among Nodes. A VM that starts again
+// keeps its addresses.
+func (f *Fleet) Open(ctx context.Context, i int) (*assembly.Node, error) {
+	n, err := assembly.New(f.Settings[i], f.cfg.Logs, assembly.WithInitialTables(f.cfg.Tables))
+	if err != nil {
+		return nil, err
+	}
+	if err := n.Start(ctx); err != nil {
+		return nil, err
+	}
+	f.Settings[i].Listen.Callers = n.CallersAddress()
+	f.Settings[i].Listen.Upstreams = n.UpstreamsAddress()
+	f.Settings[i].Listen.Operators = n.OperatorsAddress()
+	return n, nil
+}
+
 // StartAll starts every VM and waits until all are ready.
 func (f *Fleet) StartAll(ctx context.Context, bound time.Duration) error {
 	for i := range f.Nodes {
--- a/internal/upstream/stagelink/link.go
+++ b/internal/upstream/stagelink/link.go
@@ -98,6 +98,7 @@
 
 	out    chan *upstreampb.StageFrame
 	up     atomic.Bool
+	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -125,8 +126,8 @@
 		opt(l)
 	}
 	l.up.Store(true)
-	ctx, l.cancel = context.WithCancel(ctx)
-	go l.run(ctx)
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	go l.run(l.ctx)
 	return l
 }
 
@@ -214,7 +215,9 @@
 	for ctx.Err() == nil {
 		s, err := l.connect(ctx)
 		if err != nil {
-			l.lost(ctx)
+			if ctx.Err() == nil {
+				l.lost(ctx)
+			}
 			continue
 		}
 		l.setUp(true)
@@ -227,12 +230,13 @@
 			l.silences.Add(1)
 		}
 	}
+	// The link was dropped, which says nothing of the engine's present address.
 	l.up.Store(false)
 	l.tellAll(LostEvent)
 }
 
 func (l *Link) setUp(up bool) {
-	if l.up.Swap(up) != up && l.notify != nil {
+	if l.up.Swap(up) != up && l.notify != nil && l.ctx.Err() == nil {
 		l.notify(l.replica, !up)
 	}
 }
