Give fenced orders that close gaps and roll versions; keep an answer in one version

Cause: a lost range stayed lost, and a new version could not be rolled in. The first test of it hung now and then for a request's whole deadline: a path kept a hop on an engine that an order had moved to other layers (trace: e0a twice on one path, lineage 109), and each new try began the wait for a path again. Change: a placement planner and an orders controller under the leader's lease with fencing numbers; a kept hop must still hold its layers; the wait for a path ends 5 s after the first try since the last token, and 64 paths bound one token.

--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -107,6 +107,8 @@
 	Changing  bool           `json:"membershipChanging,omitempty"` // A repair is not over yet.
 	LeaseLeft clock.Duration `json:"leaseLeftMs"`
 	Fencing   uint64         `json:"fencing"`
+
+	leaseUntil clock.Time
 }
 
 // Open reads the data folder and prepares the replica. Run must follow.
@@ -165,6 +167,13 @@
 // Status returns the newest status.
 func (r *Replica) Status() Status { return *r.status.Load() }
 
+// OrderLease returns the term of the replica's lead and the time that is left of
+// its lease, 0 when it does not lead.
+func (r *Replica) OrderLease() (term uint64, left clock.Duration) {
+	s := r.status.Load()
+	return s.Term, max(0, s.leaseUntil.Sub(r.cfg.Clock.Now()))
+}
+
 // Run carries the replica until ctx ends or its disk fails.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.done)
@@ -232,7 +241,8 @@
 	for _, l := range m.GetLearners() {
 		s.Learners = append(s.Learners, l.Vm)
 	}
-	s.LeaseLeft = max(0, r.core.LeaseUntil().Sub(r.cfg.Clock.Now()))
+	s.leaseUntil = r.core.LeaseUntil()
+	s.LeaseLeft = max(0, s.leaseUntil.Sub(r.cfg.Clock.Now()))
 	s.Fencing, _ = r.state.Fencing()
 	r.status.Store(s)
 }
--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -62,9 +62,9 @@
 	Fencing FencingKind `yaml:"fencing,omitempty" json:"fencing,omitempty"`
 	// RetryShare is the share of recent requests that may be retries.
 	RetryShare float64 `yaml:"retryShare,omitempty" json:"retryShare,omitempty"`
-	// SafeLookup says that asking the service for a booking's state by its
-	// idempotency key has no effect.
-	SafeLookup bool `yaml:"safeLookup,omitempty" json:"safeLookup,omitempty"`
+	// KeepTokens is the tokens a second that a roll to another version keeps
+	// serving; 0 keeps half of what the pool can serve.
+	KeepTokens float64 `yaml:"keepTokensPerSecond,omitempty" json:"keepTokensPerSecond,omitempty"`
 }
 
 // FencingKind says what the upstreams of a pool do with an old fencing number.
--- a/internal/control/tables/validate.go
+++ b/internal/control/tables/validate.go
@@ -62,6 +62,9 @@
 	if p.Fencing != "" && p.Fencing != Refused && p.Fencing != Ignored {
 		v.add(key+".fencing", "must be %q or %q", Refused, Ignored)
 	}
+	if p.KeepTokens < 0 {
+		v.add(key+".keepTokensPerSecond", "must not be negative")
+	}
 	if p.RetryShare < 0 || p.RetryShare > maxRetryShare {
 		v.add(key+".retryShare", "must be between 0 and %v", maxRetryShare)
 	}
--- a/internal/node/assembly/assembly_test.go
+++ b/internal/node/assembly/assembly_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jasminecove/jasminecove/internal/cli/operator"
+	"github.com/jasminecove/jasminecove/internal/node/admin"
 	"github.com/jasminecove/jasminecove/internal/node/assembly"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/standin/engine"
@@ -27,11 +28,11 @@
 dataCentre: a
 listen: {callers: "127.0.0.1:0", upstreams: "127.0.0.1:0", operators: "127.0.0.1:0"}
 callers: {anonymous: true}
-telemetry: {logLevel: error}
+telemetry: {logLevel: info}
 drain: {notice: 10ms}
 `))
 	assert.NilError(t, err)
-	n, err := assembly.New(s, io.Discard, assembly.WithInitialTables([]byte(`
+	n, err := assembly.New(s, testOut(), assembly.WithInitialTables([]byte(`
 routes:
   - {name: chat, match: {model: crew}, pool: crew}
   - {name: book, match: {pathPrefix: /bookings}, pool: dispatch}
@@ -159,3 +160,61 @@
 	defer again.Kill()
 	assert.Equal(t, complete(t, n, 50), reference(50))
 }
+
+// TestGapIsClosedByAnOrder kills every holder of a range: an engine of another
+// range is ordered to take it.
+func TestGapIsClosedByAnOrder(t *testing.T) {
+	n := newNode(t)
+	defer n.Stop()
+	engines := startEngines(t, n, 2)
+	complete(t, n, 1)
+	engines[1].Kill()
+	engines[4].Kill()
+	eventually(t, "an engine of another range took layers 4 to 8", func() bool {
+		for _, u := range n.Status().Pools[0].Upstreams {
+			if u.Layers == [2]uint32{4, 8} && u.ID[:2] != "e1" {
+				return true
+			}
+		}
+		return false
+	})
+	assert.Equal(t, complete(t, n, 20), reference(20))
+	assert.Equal(t, n.Violations(), int64(0))
+}
+
+// TestVersionRollsUnderLoad asks for another version while answers go on. No
+// answer mixes versions, and each is whole.
+func TestVersionRollsUnderLoad(t *testing.T) {
+	n := newNode(t)
+	defer n.Stop()
+	for _, id := range []string{"w1", "w2"} {
+		e := engine.New(id, engine.WithModel("crew", "1", layers), engine.WithLayers(0, layers), engine.WithSpeed(5000),
+			engine.WithAnnounceTo("http://"+n.UpstreamsAddress()))
+		assert.NilError(t, e.Start(t.Context(), "127.0.0.1:0"))
+		defer e.Kill()
+	}
+	complete(t, n, 1)
+	op, err := operator.New(operator.Config{Server: "http://" + n.OperatorsAddress()})
+	assert.NilError(t, err)
+	result, err := op.Apply(t.Context(), admin.Change{Base: 1, ChangeID: "roll", Author: "amal", Document: `
+routes:
+  - {name: chat, match: {model: crew}, pool: crew}
+pools:
+  - {name: crew, model: crew, layers: 12, version: "2", fencing: refused}
+`})
+	assert.NilError(t, err)
+	assert.Equal(t, result.Code, admin.CodeOK)
+	rolled := func() bool {
+		for _, u := range n.Status().Pools[0].Upstreams {
+			if u.Version != "2" {
+				return false
+			}
+		}
+		return true
+	}
+	for end := time.Now().Add(hangBound); !rolled() && time.Now().Before(end); {
+		assert.Equal(t, complete(t, n, 20), reference(20))
+	}
+	assert.Assert(t, rolled())
+	assert.Equal(t, n.Violations(), int64(0))
+}
--- a/internal/node/assembly/helpers_test.go
+++ b/internal/node/assembly/helpers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"os"
 	"testing"
 	"time"
 )
@@ -24,3 +26,10 @@
 	t.Helper()
 	return context.WithCancel(t.Context())
 }
+
+func testOut() io.Writer {
+	if os.Getenv("JASMINECOVE_LOG") != "" {
+		return os.Stderr
+	}
+	return io.Discard
+}
--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -26,6 +26,7 @@
 	"github.com/jasminecove/jasminecove/internal/node/admin"
 	"github.com/jasminecove/jasminecove/internal/node/controlplane"
 	"github.com/jasminecove/jasminecove/internal/node/front"
+	"github.com/jasminecove/jasminecove/internal/node/orders"
 	"github.com/jasminecove/jasminecove/internal/node/recovery"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/node/telemetry"
@@ -125,6 +126,7 @@
 	}
 	n.task(func() { n.admission.Run(ctx) })
 	n.task(func() { n.tick(ctx) })
+	n.task(func() { n.ordersController().Run(ctx) })
 	n.log.Info("serving", "callers", n.CallersAddress(), "upstreams", n.UpstreamsAddress(), "operators", n.OperatorsAddress(), "fleet", n.plane.FleetAddress())
 	return nil
 }
@@ -231,6 +233,14 @@
 	}
 }
 
+// ordersController gives orders to engines while this VM's replica leads.
+func (n *Node) ordersController() *orders.Controller {
+	return &orders.Controller{
+		VM: n.settings.VM, Clock: n.clock, Lease: n.plane, Control: n.plane.Client(), Upstreams: n.dir,
+		API: engineapi.New(), Sink: n.violations, Log: n.tel.Log.Named("orders"),
+	}
+}
+
 // onChange acts on changes among upstreams.
 func (n *Node) onChange(c directory.Change) {
 	for _, id := range c.Leaving {
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -266,6 +266,14 @@
 	return p.replica.Status(), true
 }
 
+// OrderLease returns the lease of the VM's replica, if it leads.
+func (p *Plane) OrderLease() (term uint64, left clock.Duration) {
+	if p.replica == nil {
+		return 0, 0
+	}
+	return p.replica.OrderLease()
+}
+
 // LinkStats returns what the VM's links carried.
 func (p *Plane) LinkStats() link.Stats {
 	if p.transport == nil {
--- a/internal/pipeline/driver/run.go
+++ b/internal/pipeline/driver/run.go
@@ -29,7 +29,7 @@
 	sentAt   time.Time
 	deadline time.Time // Of the hop in flight, zero when none is.
 	needPath *session.NeedPathCmd
-	needTill time.Time
+	needTill time.Time // End of the wait for a path, zero once a token came.
 	imported chan bool
 	lostAt   time.Time // Of the newest loss, zero once a token came after it.
 
@@ -148,7 +148,9 @@
 		case session.TokenCmd:
 			r.token(c)
 		case session.NeedPathCmd:
-			r.needTill = time.Now().Add(pathWait.Std())
+			if r.needTill.IsZero() {
+				r.needTill = time.Now().Add(pathWait.Std())
+			}
 			r.findPath(c)
 		case session.ImportCmd:
 			r.importCache(c)
@@ -197,6 +199,7 @@
 
 func (r *run) token(c session.TokenCmd) {
 	r.tokens++
+	r.needTill = time.Time{}
 	if !r.lostAt.IsZero() {
 		if r.d.hooks.Recovered != nil {
 			r.d.hooks.Recovered(time.Since(r.lostAt))
--- a/internal/pipeline/session/recover.go
+++ b/internal/pipeline/session/recover.go
@@ -60,6 +60,10 @@
 }
 
 func (s *Session) needPath() []Cmd {
+	s.paths++
+	if s.paths > maxPaths {
+		return s.finish(ErrNoPath)
+	}
 	s.phase = phasePath
 	s.request++
 	return []Cmd{NeedPathCmd{
--- a/internal/pipeline/session/session.go
+++ b/internal/pipeline/session/session.go
@@ -29,6 +29,8 @@
 	replayChunkBytes = 256 << 10
 	// maxMissing bounds the rebuilds of lost caches between two tokens.
 	maxMissing = 3
+	// maxPaths bounds the paths that are tried between two tokens.
+	maxPaths = 64
 )
 
 // phase is what the session waits for.
@@ -74,6 +76,7 @@
 	moveFrom  Hop // Replica being replaced while phaseImport.
 	request   int // Number of the newest NeedPathCmd.
 	missing   int // Rebuilds of lost caches since the last token.
+	paths     int // Paths asked for since the last token.
 	retained  retention
 	ledger    ledger
 	counts    Counts
@@ -246,7 +249,7 @@
 // accept gives a token to the caller and goes on to the next position.
 func (s *Session) accept(f *upstreampb.StageFrame) []Cmd {
 	s.ledger.accept(s.lineage)
-	s.missing = 0
+	s.missing, s.paths = 0, 0
 	s.tokens = append(s.tokens, f.Token)
 	token := TokenCmd{Token: f.Token, Text: f.Payload, Index: len(s.tokens) - 1}
 	if f.Last || len(s.tokens) >= s.maxTokens {
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -59,8 +59,16 @@
 
 // poolPlan is the cached plan of a pool.
 type poolPlan struct {
-	version  uint64
+	registry uint64 // Versions of what the plan rests on.
 	changes  uint64
+	replicas []*registry.Upstream
+	versions []versionPlan // Of a pool of engines, each of one model version.
+}
+
+// versionPlan is the part of a pool that holds one version of the model. An
+// answer stays within it.
+type versionPlan struct {
+	version  string
 	plan     plan.Plan
 	replicas []*registry.Upstream
 }
--- a/internal/routing/directory/path.go
+++ b/internal/routing/directory/path.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
@@ -29,15 +30,7 @@
 	if !ok {
 		return nil, ErrNoPool
 	}
-	w := d.newWalk(pool, q)
-	path := w.repair()
-	if path == nil {
-		path = w.fresh()
-	}
-	if path == nil && len(q.Leaving) > 0 {
-		w.avoid = nil
-		path = w.repair()
-	}
+	w, path := d.search(pool, q)
 	if path == nil {
 		return nil, fmt.Errorf("pool %s: %w", q.Pool, ErrNoUpstream)
 	}
@@ -48,6 +41,59 @@
 	return path, nil
 }
 
+// search looks for a path: in the version of the present path, or else in the
+// versions in an order that is drawn by what each can serve.
+func (d *Directory) search(pool tables.Pool, q PathQuery) (*walk, []session.Hop) {
+	var w *walk
+	for _, v := range d.versionOrder(pool, q.Present) {
+		w = d.newWalk(pool, q, v)
+		if path := w.repair(); path != nil {
+			return w, path
+		}
+		if path := w.fresh(); path != nil {
+			return w, path
+		}
+		if len(q.Leaving) > 0 {
+			w.avoid = nil
+			if path := w.repair(); path != nil {
+				return w, path
+			}
+		}
+	}
+	return w, nil
+}
+
+// versionOrder returns the versions to look in. An answer that has begun stays
+// with its version.
+func (d *Directory) versionOrder(pool tables.Pool, present []session.Hop) []*versionPlan {
+	p := d.plan(pool)
+	if len(present) > 0 {
+		if u, known := d.registry.Get(present[0].Replica); known {
+			for i := range p.versions {
+				if p.versions[i].version == u.Version {
+					return []*versionPlan{&p.versions[i]}
+				}
+			}
+		}
+	}
+	order := make([]*versionPlan, 0, len(p.versions))
+	at := d.src.Float64() * p.bound()
+	first := -1
+	for i := range p.versions {
+		at -= p.versions[i].plan.Bound
+		if at < 0 && first < 0 {
+			first = i
+			order = append(order, &p.versions[i])
+		}
+	}
+	for i := range p.versions {
+		if i != first {
+			order = append(order, &p.versions[i])
+		}
+	}
+	return order
+}
+
 // Release ends the count that Path began.
 func (d *Directory) Release(path []session.Hop) {
 	d.mu.Lock()
@@ -72,31 +118,62 @@
 	if !ok || !p.IsModel() {
 		return 0
 	}
-	return d.plan(p).plan.Bound
+	return d.plan(p).bound()
+}
+
+// bound is the sum over the model's versions.
+func (p *poolPlan) bound() float64 {
+	sum := 0.0
+	for _, v := range p.versions {
+		sum += v.plan.Bound
+	}
+	return sum
 }
 
 // plan returns the pool's plan, computed again when what it rests on changed.
 func (d *Directory) plan(p tables.Pool) *poolPlan {
 	cached := d.planned[p.Name]
-	if cached != nil && cached.version == d.registry.Version() && cached.changes == d.changes {
+	if cached != nil && cached.registry == d.registry.Version() && cached.changes == d.changes {
 		return cached
 	}
-	next := &poolPlan{version: d.registry.Version(), changes: d.changes}
-	var replicas []plan.Replica
+	next := &poolPlan{registry: d.registry.Version(), changes: d.changes}
+	byVersion := map[string][]*registry.Upstream{}
 	for _, u := range d.members(p) {
 		if u.Leaving || d.down[u.Id] {
 			continue
 		}
 		next.replicas = append(next.replicas, u)
-		replicas = append(replicas, plan.Replica{ID: u.Id, From: u.LayerFrom, To: u.LayerTo, Rate: rateOf(u)})
+		byVersion[u.Version] = append(byVersion[u.Version], u)
 	}
 	if p.IsModel() {
-		next.plan = plan.Compute(p.Layers, replicas)
+		next.versions = planVersions(p, byVersion)
 	}
 	d.planned[p.Name] = next
 	return next
 }
 
+// planVersions plans each version by itself, the pool's own first.
+func planVersions(p tables.Pool, byVersion map[string][]*registry.Upstream) []versionPlan {
+	out := make([]versionPlan, 0, len(byVersion))
+	for version, upstreams := range byVersion {
+		replicas := make([]plan.Replica, 0, len(upstreams))
+		for _, u := range upstreams {
+			replicas = append(replicas, plan.Replica{ID: u.Id, From: u.LayerFrom, To: u.LayerTo, Rate: rateOf(u)})
+		}
+		out = append(out, versionPlan{version: version, plan: plan.Compute(p.Layers, replicas), replicas: upstreams})
+	}
+	slices.SortFunc(out, func(a, b versionPlan) int {
+		if (a.version == p.Version) != (b.version == p.Version) {
+			if a.version == p.Version {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.version, b.version)
+	})
+	return out
+}
+
 // rateOf returns the tokens a second that a replica can serve: the least of its
 // compute and its link, which carries a position each way.
 func rateOf(u *registry.Upstream) float64 {
@@ -119,7 +196,7 @@
 
 func selects(p tables.Pool, u *registry.Upstream) bool {
 	if p.IsModel() {
-		return u.Kind == "engine" && u.Name == p.Model && (p.Version == "" || p.Version == u.Version)
+		return u.Kind == "engine" && u.Name == p.Model
 	}
 	return u.Kind == "service" && u.Name == p.Service
 }
@@ -134,20 +211,20 @@
 	d      *Directory
 	pool   tables.Pool
 	now    clock.Time
-	plan   *poolPlan
+	plan   *versionPlan
 	query  PathQuery
 	avoid  []string
 	policy pick.Policy
 	dead   map[uint32]bool // Boundaries from which the end is not reached.
 }
 
-func (d *Directory) newWalk(pool tables.Pool, q PathQuery) *walk {
+func (d *Directory) newWalk(pool tables.Pool, q PathQuery, v *versionPlan) *walk {
 	policy := d.policies[pool.Name]
 	if policy == nil {
 		policy = pick.Planned{}
 	}
 	return &walk{
-		d: d, pool: pool, now: d.clock.Now(), plan: d.plan(pool), query: q,
+		d: d, pool: pool, now: d.clock.Now(), plan: v, query: q,
 		avoid: q.Leaving, policy: policy, dead: map[uint32]bool{},
 	}
 }
@@ -159,7 +236,7 @@
 	}
 	path := slices.Clone(w.query.Present)
 	for i, h := range path {
-		if !slices.Contains(w.query.Lost, h.Replica) && !slices.Contains(w.avoid, h.Replica) {
+		if w.stillHolds(h) && !slices.Contains(w.query.Lost, h.Replica) && !slices.Contains(w.avoid, h.Replica) {
 			continue
 		}
 		same := w.candidates(h.LayerFrom, func(u *registry.Upstream) bool { return u.LayerTo == h.LayerTo })
@@ -171,6 +248,13 @@
 	return path
 }
 
+// stillHolds reports whether a replica holds the hop's layers at present. An order
+// may have moved it to others.
+func (w *walk) stillHolds(h session.Hop) bool {
+	u, live := w.d.registry.Get(h.Replica)
+	return live && u.LayerFrom == h.LayerFrom && u.LayerTo == h.LayerTo
+}
+
 // fresh picks hop after hop from the first layer to the last.
 func (w *walk) fresh() []session.Hop {
 	clear(w.dead)
--- a/internal/routing/directory/view.go
+++ b/internal/routing/directory/view.go
@@ -1,10 +1,13 @@
 package directory
 
 import (
+	"maps"
 	"strconv"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/routing/plan"
+	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
 // PoolView is a pool as operators see it.
@@ -19,6 +22,7 @@
 type UpstreamView struct {
 	ID       string         `json:"id"`
 	State    string         `json:"state"`
+	Version  string         `json:"version,omitempty"`
 	Layers   [2]uint32      `json:"layers,omitempty"`
 	Home     string         `json:"home"`
 	InFlight int            `json:"inFlight"`
@@ -38,13 +42,15 @@
 		weights := map[string]float64{}
 		if p.IsModel() {
 			pl := d.plan(p)
-			v.Bound = pl.plan.Bound
-			weights = pl.plan.Weights
+			v.Bound = pl.bound()
+			for _, version := range pl.versions {
+				maps.Copy(weights, version.plan.Weights)
+			}
 			v.Missing = missing(p.Layers, pl)
 		}
 		for _, u := range d.members(p) {
 			v.Upstreams = append(v.Upstreams, UpstreamView{
-				ID: u.Id, State: d.stateOf(u.Id, u.Leaving), Layers: [2]uint32{u.LayerFrom, u.LayerTo}, Home: u.Home,
+				ID: u.Id, State: d.stateOf(u.Id, u.Leaving), Version: u.Version, Layers: [2]uint32{u.LayerFrom, u.LayerTo}, Home: u.Home,
 				InFlight: d.inFlight[u.Id], Weight: weights[u.Id], HopMean: d.pace.Mean(u.Id), Heard: now.Sub(u.Heard),
 			})
 		}
@@ -77,3 +83,16 @@
 	}
 	return "from layer " + strconv.FormatUint(uint64(from), 10)
 }
+
+// Engines returns the announcements of a pool's live engines. They must not be
+// changed.
+func (d *Directory) Engines(p tables.Pool) []*upstreampb.Announcement {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	members := d.members(p)
+	out := make([]*upstreampb.Announcement, 0, len(members))
+	for _, u := range members {
+		out = append(out, u.Announcement)
+	}
+	return out
+}
