--- a/internal/base/yamlfile/yamlfile.go
+++ b/internal/base/yamlfile/yamlfile.go
@@ -5,10 +5,11 @@
 	"bytes"
 	"errors"
 	"io"
+	"regexp"
+	"strconv"
 	"strings"
 
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/lexer"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 )
@@ -25,61 +26,109 @@
 // Decode reads one document into v. Unknown and duplicate keys are refused. A
 // failure is a *SyntaxError.
 func Decode(data []byte, v any) error {
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
 	err := dec.Decode(v)
 	if err == nil || errors.Is(err, io.EOF) {
 		return nil
 	}
-	out := &SyntaxError{Text: err.Error()}
 	var span *clock.ParseError
 	if errors.As(err, &span) {
-		out.Line = lineOfValue(data, span.Text)
+		return &SyntaxError{Line: lineOfValue(data, span.Text), Text: err.Error()}
 	}
-	var yerr yaml.Error
-	if errors.As(err, &yerr) {
-		out.Text = yerr.GetMessage()
-		if tok := yerr.GetToken(); tok != nil && tok.Position != nil {
-			out.Line = tok.Position.Line
-		}
+	return describe(err)
+}
+
+var (
+	lineText     = regexp.MustCompile(`line (\d+): (.*)`)
+	unknownField = regexp.MustCompile(`field (\S+) not found in type \S+`)
+)
+
+// describe takes the line out of a decoder's error.
+func describe(err error) *SyntaxError {
+	text := err.Error()
+	var types *yaml.TypeError
+	if errors.As(err, &types) {
+		text = types.Errors[0]
+	}
+	out := &SyntaxError{Text: text}
+	if m := lineText.FindStringSubmatch(text); m != nil {
+		out.Line, _ = strconv.Atoi(m[1])
+		out.Text = m[2]
 	}
+	out.Text = unknownField.ReplaceAllString(out.Text, `unknown field "$1"`)
 	return out
 }
 
+// Encode writes v as YAML.
+func Encode(v any) ([]byte, error) { return yaml.Marshal(v) }
+
 // lineOfValue finds the first line with a scalar of that text. The decoder does
 // not tell where a value's own type refused it.
 func lineOfValue(data []byte, text string) int {
-	for _, tok := range lexer.Tokenize(string(data)) {
-		if tok.Value == text && tok.Prev != nil && tok.Prev.Value == ":" {
-			return tok.Position.Line
+	var root yaml.Node
+	if yaml.Unmarshal(data, &root) != nil {
+		return 0
+	}
+	return findValue(&root, text)
+}
+
+func findValue(n *yaml.Node, text string) int {
+	if n.Kind == yaml.ScalarNode && n.Value == text {
+		return n.Line
+	}
+	for i, child := range n.Content {
+		if n.Kind == yaml.MappingNode && i%2 == 0 {
+			continue
+		}
+		if line := findValue(child, text); line > 0 {
+			return line
 		}
 	}
 	return 0
 }
 
-// Line finds the line of a key such as pools[1].name, or of its nearest parent
+// Lines finds the lines of keys in one document.
+type Lines struct {
+	root yaml.Node
+}
+
+// NewLines reads a document. One that cannot be read has no lines.
+func NewLines(data []byte) *Lines {
+	l := &Lines{}
+	_ = yaml.Unmarshal(data, &l.root)
+	return l
+}
+
+// Of returns the line of a key such as pools[1].name, or of its nearest parent
 // that the document has. It returns 0 when there is none.
-func Line(data []byte, key string) int {
-	for key != "" {
-		if line := lineAt(data, "$."+key); line > 0 {
+func (l *Lines) Of(key string) int {
+	if len(l.root.Content) == 0 {
+		return 0
+	}
+	at, line := l.root.Content[0], 0
+	for _, part := range strings.FieldsFunc(key, func(r rune) bool { return r == '.' || r == '[' || r == ']' }) {
+		at = child(at, part)
+		if at == nil {
 			return line
 		}
-		cut := strings.LastIndexByte(key, '.')
-		if cut < 0 {
-			return 0
-		}
-		key = key[:cut]
+		line = at.Line
 	}
-	return 0
+	return line
 }
 
-func lineAt(data []byte, path string) int {
-	p, err := yaml.PathString(path)
-	if err != nil {
-		return 0
+// child returns the value of a mapping's key or the element of a sequence.
+func child(n *yaml.Node, part string) *yaml.Node {
+	if i, err := strconv.Atoi(part); err == nil && n.Kind == yaml.SequenceNode {
+		if i < len(n.Content) {
+			return n.Content[i]
+		}
+		return nil
 	}
-	node, err := p.ReadNode(bytes.NewReader(data))
-	if err != nil || node == nil || node.GetToken() == nil {
-		return 0
+	for i := 0; n.Kind == yaml.MappingNode && i+1 < len(n.Content); i += 2 {
+		if n.Content[i].Value == part {
+			return n.Content[i+1]
+		}
 	}
-	return node.GetToken().Position.Line
+	return nil
 }
--- a/internal/cli/standincmd/experiment.go
+++ b/internal/cli/standincmd/experiment.go
@@ -119,3 +119,23 @@
 		},
 	}
 }
+
+// controlCommand measures the control state.
+func controlCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("control", flag.ContinueOnError)
+	vms := fs.Int("vms", 9, "VMs")
+	voters := fs.Int("voters", 3, "VMs with a replica")
+	changes := fs.Int("changes", 200, "changes to apply one after another")
+	out := fs.String("json", "", "file for the result")
+	return &ffcli.Command{
+		Name: "control", ShortUsage: "standin control -vms 9 -voters 3", ShortHelp: "measure commits, dissemination and recovery of the control state", FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			r, err := experiment.RunControl(ctx, *vms, *voters, *changes)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%+v\n", r)
+			return writeResults(*out, r)
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/standincmd/load.go
@@ -0,0 +1,44 @@
+package standincmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jasminecove/jasminecove/internal/standin/load"
+)
+
+// loadCommand offers completions to running VMs.
+func loadCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("load", flag.ContinueOnError)
+	targets := fs.String("targets", "http://127.0.0.1:7000", "callers' base addresses of VMs, by commas")
+	name := fs.String("model", "crew", "model")
+	layers := fs.Uint("layers", 12, "layers of the model")
+	rate := fs.Float64("rate", 10, "requests a second")
+	arrivals := fs.String("arrivals", "poisson", "process of arrivals: poisson or even")
+	span := fs.Duration("span", 10*time.Second, "length of the load")
+	warmup := fs.Duration("warmup", 2*time.Second, "part that is left out of the report")
+	words := fs.Int("words", 8, "words of a prompt")
+	tokens := fs.Int("tokens", 100, "mean tokens of an answer")
+	prefixes := fs.Int("prefixes", 0, "distinct prompt prefixes, 0 for none shared")
+	seed := fs.Uint64("seed", 1, "seed")
+	out := fs.String("json", "", "file for the report")
+	return &ffcli.Command{
+		Name: "load", ShortUsage: "standin load -rate 20", ShortHelp: "offer completions in an open loop", FlagSet: fs,
+		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			r := load.Run(ctx, load.Config{
+				Targets: strings.Split(*targets, ","), Model: *name, Layers: uint32(*layers), Rate: *rate, Arrivals: *arrivals,
+				Duration: *span, Warmup: *warmup, PromptWords: *words, OutputTokens: *tokens, Prefixes: *prefixes, Seed: *seed,
+			})
+			fmt.Printf("%.0f tokens/s, %.1f whole answers/s, verdicts %v, refusals %v, first token %.1f/%.1f/%.1f ms, between tokens %.1f/%.1f/%.1f ms, seed %d\n",
+				r.PerSecond, r.Goodput, r.Verdicts, r.Refusals, r.First.P50, r.First.P95, r.First.P99, r.Between.P50, r.Between.P95, r.Between.P99, r.Seed)
+			return writeResults(*out, r)
+		},
+	}
+}
--- a/internal/cli/standincmd/standincmd.go
+++ b/internal/cli/standincmd/standincmd.go
@@ -36,8 +36,8 @@
 func root() *ffcli.Command {
 	return &ffcli.Command{
 		Name:        "standin",
-		ShortUsage:  "standin <engine|service|ask|load|fault|inflight> [flags]",
-		Subcommands: []*ffcli.Command{engineCommand(), serviceCommand(), askCommand(), inFlightCommand(), faultCommand(), experimentCommand(), deathsCommand(), bookingsCommand()},
+		ShortUsage:  "standin <command> [flags]",
+		Subcommands: []*ffcli.Command{engineCommand(), serviceCommand(), askCommand(), inFlightCommand(), faultCommand(), experimentCommand(), deathsCommand(), bookingsCommand(), controlCommand(), slopesCommand(), loadCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/internal/control/tables/parse.go
+++ b/internal/control/tables/parse.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/jasminecove/jasminecove/internal/base/yamlfile"
 )
 
@@ -30,15 +28,16 @@
 	if len(faults) == 0 {
 		return doc, nil
 	}
+	lines := yamlfile.NewLines(data)
 	for i := range faults {
-		faults[i].Line = yamlfile.Line(data, faults[i].Key)
+		faults[i].Line = lines.Of(faults[i].Key)
 	}
 	return nil, &InvalidError{Faults: faults}
 }
 
 // Encode writes the document as YAML.
 func (d *Document) Encode() ([]byte, error) {
-	data, err := yaml.Marshal(d)
+	data, err := yamlfile.Encode(d)
 	if err != nil {
 		return nil, fmt.Errorf("encode tables: %w", err)
 	}
--- a/internal/control/tables/tables_test.go
+++ b/internal/control/tables/tables_test.go
@@ -107,3 +107,22 @@
 		assert.NilError(t, err)
 	})
 }
+
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			text := "routes:\n"
+			for i := range n {
+				text += fmt.Sprintf("  - {name: r%d, match: {pathPrefix: /s%d}, pool: p%d, deadline: 5s}\n", i, i, i)
+			}
+			text += "pools:\n"
+			for i := range n {
+				text += fmt.Sprintf("  - {name: p%d, service: s%d}\n", i, i)
+			}
+			for b.Loop() {
+				_, err := tables.Parse([]byte(text))
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
--- a/internal/node/assembly/assembly_test.go
+++ b/internal/node/assembly/assembly_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -218,3 +219,41 @@
 	assert.Assert(t, rolled())
 	assert.Equal(t, n.Violations(), int64(0))
 }
+
+// BenchmarkToken measures the whole path of one token through three in-process
+// stages, the stand-ins and the caller with it.
+func BenchmarkToken(b *testing.B) {
+	s, err := settings.Parse("bench", []byte(`vm: a1
+dataCentre: a
+listen: {callers: "127.0.0.1:0", upstreams: "127.0.0.1:0", operators: "127.0.0.1:0"}
+callers: {anonymous: true}
+telemetry: {logLevel: error}
+`))
+	assert.NilError(b, err)
+	n, err := assembly.New(s, io.Discard, assembly.WithInitialTables([]byte(`
+routes: [{name: chat, match: {model: crew}, pool: crew}]
+pools: [{name: crew, model: crew, layers: 12}]
+`)))
+	assert.NilError(b, err)
+	assert.NilError(b, n.Start(b.Context()))
+	defer n.Stop()
+	for k := range uint32(3) {
+		e := engine.New(fmt.Sprint("e", k), engine.WithModel("crew", "1", layers), engine.WithLayers(k*4, k*4+4),
+			engine.WithSpeed(1e6), engine.WithAnnounceTo("http://"+n.UpstreamsAddress()))
+		assert.NilError(b, e.Start(b.Context(), "127.0.0.1:0"))
+		defer e.Kill()
+	}
+	time.Sleep(2 * time.Second)
+	body := fmt.Sprintf(`{"model":"crew","max_tokens":%d,"prompt":"pump","stream":true}`, 1000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	tokens := 0
+	for tokens < b.N {
+		resp, err := post(b.Context(), n, "/v1/completions", body, nil)
+		assert.NilError(b, err)
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(b, err)
+		assert.NilError(b, resp.Body.Close())
+		tokens += strings.Count(string(data), `"text":" `)
+	}
+}
--- a/internal/node/assembly/status.go
+++ b/internal/node/assembly/status.go
@@ -35,3 +35,6 @@
 		Draining: m.Draining, Replica: m.Replica != "", Leader: m.Vm == leader, Callers: m.CallersAddress,
 	}
 }
+
+// Revision returns the tables revision in force here.
+func (n *Node) Revision() uint64 { return n.plane.Current().GetNumber() }
--- a/internal/node/settings/load.go
+++ b/internal/node/settings/load.go
@@ -43,8 +43,9 @@
 	if len(faults) == 0 {
 		return s, nil
 	}
+	lines := yamlfile.NewLines(data)
 	for i := range faults {
-		faults[i].Line = yamlfile.Line(data, faults[i].Key)
+		faults[i].Line = lines.Of(faults[i].Key)
 	}
 	return Settings{}, &InvalidError{File: file, Faults: faults}
 }
--- a/internal/routing/pick/pick.go
+++ b/internal/routing/pick/pick.go
@@ -118,15 +118,20 @@
 	return last
 }
 
-// RoundRobin takes the candidates in turn.
+// RoundRobin takes the candidates in turn, with a turn of its own for each set
+// that begins with the same candidate.
 type RoundRobin struct {
-	next int
+	next map[string]int
 }
 
 // Pick implements Policy.
 func (p *RoundRobin) Pick(_ *rng.Source, candidates []Candidate) int {
-	p.next++
-	return p.next % len(candidates)
+	if p.next == nil {
+		p.next = map[string]int{}
+	}
+	set := candidates[0].ID
+	p.next[set]++
+	return p.next[set] % len(candidates)
 }
 
 // LeastInFlight takes a candidate with the fewest requests of this VM.
--- /dev/null
+++ b/internal/standin/slopes/slopes.go
@@ -0,0 +1,107 @@
+// Package slopes measures what the parts of a VM cost at several sizes and fits
+// lines to the figures, for docs/CAPACITY.md. All of it runs in one process.
+package slopes
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// Point is one measurement: what a size costs.
+type Point struct {
+	Size float64 `json:"size"`
+	Cost float64 `json:"cost"`
+}
+
+// Slope is a fitted line: Cost = Base + PerUnit * Size.
+type Slope struct {
+	Name    string  `json:"name"`
+	Unit    string  `json:"unit"`
+	Points  []Point `json:"points"`
+	Base    float64 `json:"base"`
+	PerUnit float64 `json:"perUnit"`
+	Spread  float64 `json:"spread"` // Largest distance of a point from the line, as a share of the largest cost.
+}
+
+// fit draws the line of least squares through the points.
+func fit(name, unit string, points []Point) Slope {
+	n := float64(len(points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range points {
+		sx, sy, sxx, sxy = sx+p.Size, sy+p.Cost, sxx+p.Size*p.Size, sxy+p.Size*p.Cost
+	}
+	s := Slope{Name: name, Unit: unit, Points: points}
+	s.PerUnit = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	s.Base = (sy - s.PerUnit*sx) / n
+	largest := 0.0
+	for _, p := range points {
+		largest = max(largest, math.Abs(p.Cost))
+	}
+	for _, p := range points {
+		s.Spread = max(s.Spread, math.Abs(p.Cost-s.Base-s.PerUnit*p.Size)/largest)
+	}
+	return s
+}
+
+// at returns the cost of a size on the line.
+func (s Slope) at(size float64) float64 { return s.Base + s.PerUnit*size }
+
+// Print writes the slope with its points and its value at a size.
+func (s Slope) Print(out io.Writer, size float64) {
+	fmt.Fprintf(out, "%-42s %s: ", s.Name, s.Unit)
+	for _, p := range s.Points {
+		fmt.Fprintf(out, "%.0f:%.4g ", p.Size, p.Cost)
+	}
+	fmt.Fprintf(out, "| base %.4g, %.4g a unit, spread %.1f%% | at %.0f: %.4g\n", s.Base, s.PerUnit, 100*s.Spread, size, s.at(size))
+}
+
+// cpu returns the processor time of this process.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// measure returns the mean processor time of f in microseconds over so many calls.
+func measure(calls int, f func()) float64 {
+	f()
+	began := cpu()
+	for range calls {
+		f()
+	}
+	return float64(cpu()-began) / float64(calls) / float64(time.Microsecond)
+}
+
+// Run measures every slope and prints it.
+func Run(out io.Writer) []Slope {
+	var all []Slope
+	add := func(size float64, slopes ...Slope) {
+		for _, s := range slopes {
+			s.Print(out, size)
+			all = append(all, s)
+		}
+	}
+	const nodes, replicas = 420, 5400
+	add(nodes, gossipSlopes()...)
+	add(replicas, registrySlopes()...)
+	add(replicas/9, pathSlopes()...)
+	add(100_000, stateSlopes()...)
+	add(1000, patchSlopes()...)
+	add(1200, sessionSlopes()...)
+	return all
+}
