--- a/internal/pipeline/driver/driver.go
+++ b/internal/pipeline/driver/driver.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/binary"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
@@ -21,6 +22,12 @@
 // ErrTokenize reports that no engine turned the prompt into tokens.
 const ErrTokenize = fault.Sentinel("driver: no engine tokenized the prompt")
 
+// Bytes of inputs that are kept to rebuild lost stages by replay.
+const (
+	maxRetainBytes = 4 << 20
+	retainAllBytes = 512 << 20
+)
+
 // pathWait bounds the wait for a replica when none holds some of the layers.
 const pathWait = 5 * clock.Second
 
@@ -34,6 +41,8 @@
 	api   engineapi.API
 	sink  invariant.Sink
 	hooks Hooks
+
+	active atomic.Int64 // Sessions under way.
 }
 
 // Hooks observe a session. Each may be nil.
@@ -91,6 +100,8 @@
 		mailbox: stagelink.NewMailbox(), links: map[string]*stagelink.Link{},
 		timer: time.NewTimer(time.Hour),
 	}
+	d.active.Add(1)
+	defer d.active.Add(-1)
 	defer r.close()
 	prompt, count, err := r.tokenize()
 	if err != nil {
@@ -98,12 +109,18 @@
 	}
 	r.promptLen = count
 	r.session = session.New(r.id, r.layers(), prompt, count, tokenInput,
-		session.WithMaxTokens(req.MaxTokens), session.WithPriority(req.Priority), session.WithInvariants(d.sink))
+		session.WithMaxTokens(req.MaxTokens), session.WithPriority(req.Priority), session.WithRetainBytes(d.retain()), session.WithInvariants(d.sink))
 	r.apply(session.StartMsg{Path: r.path})
 	r.loop()
 	return r.report(), r.err
 }
 
+// retain is the bytes of inputs that a new session may keep: its part of what the
+// VM keeps for all, and no more than one session needs.
+func (d *Driver) retain() int {
+	return min(maxRetainBytes, retainAllBytes/int(max(1, d.active.Load())))
+}
+
 // tokenInput is the first layer's input for a token that an engine produced.
 func tokenInput(token uint32) []byte {
 	return binary.LittleEndian.AppendUint32(nil, token)
--- a/internal/standin/slopes/slopes.go
+++ b/internal/standin/slopes/slopes.go
@@ -103,5 +103,6 @@
 	add(100_000, stateSlopes()...)
 	add(1000, patchSlopes()...)
 	add(1200, sessionSlopes()...)
+	add(30, idleSlopes()...)
 	return all
 }
