--- a/internal/standin/local/local_test.go
+++ b/internal/standin/local/local_test.go
@@ -13,6 +13,9 @@
 
 	"github.com/jasminecove/jasminecove/internal/cli/operator"
 	"github.com/jasminecove/jasminecove/internal/node/admin"
+	"github.com/jasminecove/jasminecove/internal/routing/directory"
+	"github.com/jasminecove/jasminecove/internal/standin/caller"
+	"github.com/jasminecove/jasminecove/internal/standin/engine"
 	"github.com/jasminecove/jasminecove/internal/standin/local"
 	"github.com/jasminecove/jasminecove/internal/standin/service"
 )
@@ -157,3 +160,64 @@
 	assert.Assert(t, strings.Contains(body, `"outcome":"unknown"`), body)
 	assert.Equal(t, ledger.Runs("k2"), 1)
 }
+
+// TestLeavingEngineIsLeftByEveryVM lets an engine leave while each VM has an
+// answer on it: every VM learns of it, the answers move to another engine by
+// copying their caches, and all are whole.
+func TestLeavingEngineIsLeftByEveryVM(t *testing.T) {
+	const layers, tokens = 12, 400
+	f, err := local.New(local.Config{Folder: t.TempDir(), VMs: 3, Voters: 3, DataCentres: 3, Logs: io.Discard, Notice: 20, Tables: []byte(`
+routes: [{name: chat, match: {model: crew}, pool: crew}]
+pools: [{name: crew, model: crew, layers: 12}]
+`)})
+	assert.NilError(t, err)
+	assert.NilError(t, f.StartAll(context.Background(), readyBound))
+	t.Cleanup(f.Stop)
+	engines := map[string]*engine.Engine{}
+	for i, id := range []string{"a1", "b1", "b2"} {
+		from, to := uint32(0), uint32(6)
+		if id != "a1" {
+			from, to = 6, layers
+		}
+		e := engine.New(id, engine.WithModel("crew", "1", layers), engine.WithLayers(from, to), engine.WithSpeed(400), engine.WithAnnounceTo(f.UpstreamsURLs(i)...))
+		assert.NilError(t, e.Start(t.Context(), "127.0.0.1:0"))
+		t.Cleanup(e.Kill)
+		engines[id] = e
+	}
+	everyVM := func(holds func([]directory.UpstreamView) bool) func() bool {
+		return func() bool {
+			for _, n := range f.Nodes {
+				if !holds(n.Status().Pools[0].Upstreams) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "every VM knows the engines", everyVM(func(us []directory.UpstreamView) bool { return len(us) == 3 }))
+	c := caller.New(10)
+	defer c.Close()
+	verdicts := make(chan caller.Verdict, 6)
+	for i := range 6 {
+		go func() {
+			verdicts <- c.Complete(t.Context(), caller.Ask{Base: "http://" + f.Nodes[i%3].CallersAddress(), Model: "crew", Layers: layers, Prompt: fmt.Sprint("p ", i), MaxTokens: tokens}).Verdict
+		}()
+	}
+	eventually(t, "the engine works", func() bool { return engines["b1"].Sessions() > 0 })
+	engines["b1"].Leave()
+	eventually(t, "every VM knows that it leaves", everyVM(func(us []directory.UpstreamView) bool {
+		for _, u := range us {
+			if u.ID == "b1" {
+				return u.State == "leaving"
+			}
+		}
+		return false
+	}))
+	eventually(t, "no answer is on it", func() bool { return engines["b1"].Sessions() == 0 })
+	for range 6 {
+		assert.Equal(t, <-verdicts, caller.Whole)
+	}
+	for _, n := range f.Nodes {
+		assert.Equal(t, n.Violations(), int64(0))
+	}
+}
