--- /dev/null
+++ b/internal/base/delay/delay_test.go
@@ -0,0 +1,18 @@
+package delay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/delay"
+)
+
+func TestWaitEndsWithItsContext(t *testing.T) {
+	assert.NilError(t, delay.Wait(t.Context(), time.Microsecond))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, delay.Wait(ctx, time.Hour), context.Canceled)
+}
--- a/internal/cli/command/demo.go
+++ b/internal/cli/command/demo.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/standin/engine"
 	"github.com/jasminecove/jasminecove/internal/standin/load"
 	"github.com/jasminecove/jasminecove/internal/standin/local"
@@ -114,7 +115,7 @@
 	go func() { books <- d.book(ctx) }()
 	report := make(chan load.Report, 1)
 	go func() { report <- d.load(ctx, bound) }()
-	sleep(ctx, d.span/2)
+	_ = delay.Wait(ctx, d.span/2)
 	d.say("stopping engine %s in the middle of answers", demoVictim)
 	d.engines[demoVictim].Kill()
 	ok := d.summarize(<-report, <-books, bound)
@@ -160,7 +161,7 @@
 
 // awaitUpstreams waits until every VM knows every upstream.
 func (d *demo) awaitUpstreams(ctx context.Context) error {
-	for end := time.Now().Add(demoBound); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 10*time.Millisecond) {
+	for end := time.Now().Add(demoBound); time.Now().Before(end) && ctx.Err() == nil; {
 		known := true
 		for _, n := range d.fleet.Running() {
 			pools := n.Status().Pools
@@ -169,6 +170,7 @@
 		if known {
 			return nil
 		}
+		_ = delay.Wait(ctx, 10*time.Millisecond)
 	}
 	return exit(ExitUnavailable, fmt.Errorf("the upstreams were not known everywhere within %s", demoBound))
 }
@@ -223,13 +225,5 @@
 	fmt.Fprintf(d.out, "%s  %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
 }
 
-// sleep waits for a span or the end of ctx.
-func sleep(ctx context.Context, span time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(span):
-	}
-}
-
 // line separates the parts of the summary.
 var line = strings.Repeat("-", 64)
--- a/internal/cli/command/demosummary.go
+++ b/internal/cli/command/demosummary.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/standin/caller"
 	"github.com/jasminecove/jasminecove/internal/standin/load"
@@ -37,7 +38,7 @@
 		if again.Outcome != first.Outcome && first.Outcome == refusal.Complete {
 			b.lost++
 		}
-		sleep(ctx, bookingPause)
+		_ = delay.Wait(ctx, bookingPause)
 	}
 	return b
 }
--- a/internal/node/assembly/stop.go
+++ b/internal/node/assembly/stop.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 )
 
 // Stop ends the VM's process at once.
@@ -26,9 +27,9 @@
 	n.log.Info("draining", "inFlight", n.front.InFlight())
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Drain.Limit.Std())
 	defer cancel()
-	wait(ctx, n.settings.Drain.Notice.Std())
+	_ = delay.Wait(ctx, n.settings.Drain.Notice.Std())
 	for n.front.InFlight() > 0 && ctx.Err() == nil {
-		wait(ctx, tickEvery)
+		_ = delay.Wait(ctx, tickEvery)
 	}
 	if ctx.Err() == nil {
 		// Closes idle connections and waits for requests that came meanwhile.
@@ -39,10 +40,3 @@
 	n.Stop()
 	return cut
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/control/patch"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
@@ -49,7 +49,7 @@
 // revisions from the VMs that have them.
 func (p *Plane) fetchLoop(ctx context.Context) {
 	for ctx.Err() == nil && !p.learnPresent(ctx) {
-		sleep(ctx, fetchPause)
+		_ = delay.Wait(ctx, fetchPause)
 	}
 	for ctx.Err() == nil {
 		select {
@@ -58,7 +58,7 @@
 		case <-p.wake:
 		}
 		for ctx.Err() == nil && p.behind() && !p.fetch(ctx) {
-			sleep(ctx, fetchPause)
+			_ = delay.Wait(ctx, fetchPause)
 		}
 	}
 }
@@ -186,10 +186,3 @@
 	c.patches[key] = data
 	return data, true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/standin/model"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
@@ -57,7 +58,7 @@
 		}
 		free = free.Add(e.cost(batch))
 		if wait := time.Until(free); wait > minSleep {
-			sleep(ctx, wait)
+			_ = delay.Wait(ctx, wait)
 		}
 		e.runBatch(batch)
 	}
@@ -85,7 +86,7 @@
 		if !stalled {
 			return
 		}
-		sleep(ctx, stallCheck)
+		_ = delay.Wait(ctx, stallCheck)
 	}
 }
 
@@ -229,10 +230,3 @@
 	r.Kind, r.Reason = upstreampb.StageFrame_FAILED, uint32(reason)
 	return r
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/standin/experiment/bookings.go
+++ b/internal/standin/experiment/bookings.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/standin/caller"
@@ -70,7 +71,7 @@
 			return BookingResult{}, err
 		}
 	}
-	if err := pause(ctx, time.Second); err != nil {
+	if err := delay.Wait(ctx, time.Second); err != nil {
 		return BookingResult{}, err
 	}
 	began := time.Now()
@@ -136,7 +137,7 @@
 			break
 		}
 		everUnknown = everUnknown || outcome == refusal.Unknown
-		if pause(ctx, bookingRetry) != nil {
+		if delay.Wait(ctx, bookingRetry) != nil {
 			return
 		}
 	}
@@ -163,7 +164,7 @@
 // killServices ends services, and cuts connections before and after the run.
 func (r *bookingRun) killServices(ctx context.Context) {
 	src := rng.New(r.cfg.Seed)
-	for i := 0; pause(ctx, serviceKillEvery) == nil; i++ {
+	for i := 0; delay.Wait(ctx, serviceKillEvery) == nil; i++ {
 		k := src.IntN(len(r.svc))
 		switch i % 4 {
 		case 0:
@@ -188,13 +189,13 @@
 
 // killVMs ends one VM after another and starts it again.
 func (r *bookingRun) killVMs(ctx context.Context) {
-	for i := 0; pause(ctx, vmKillEvery) == nil; i++ {
+	for i := 0; delay.Wait(ctx, vmKillEvery) == nil; i++ {
 		k := i % len(r.bench.Fleet.Nodes)
 		r.bench.stopVM(k)
 		r.mu.Lock()
 		r.result.VMsKilled++
 		r.mu.Unlock()
-		_ = pause(ctx, vmBack)
+		_ = delay.Wait(ctx, vmBack)
 		if r.bench.startVM(k) != nil {
 			return
 		}
--- a/internal/standin/experiment/deaths.go
+++ b/internal/standin/experiment/deaths.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
 	"github.com/jasminecove/jasminecove/internal/node/recovery"
 	"github.com/jasminecove/jasminecove/internal/standin/engine"
@@ -43,7 +44,7 @@
 	go func() { report <- load.Run(ctx, b.LoadConfig(cfg.Config)) }()
 	src := rng.New(cfg.Seed)
 	for range cfg.Deaths {
-		if err := pause(ctx, cfg.Every); err != nil {
+		if err := delay.Wait(ctx, cfg.Every); err != nil {
 			return DeathResult{}, err
 		}
 		b.kill(ctx, cfg, src)
--- a/internal/standin/experiment/experiment.go
+++ b/internal/standin/experiment/experiment.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/standin/engine"
@@ -156,7 +157,7 @@
 		if known {
 			return nil
 		}
-		if err := pause(ctx, 10*time.Millisecond); err != nil {
+		if err := delay.Wait(ctx, 10*time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -213,7 +214,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if err := pause(ctx, rampWait); err != nil {
+	if err := delay.Wait(ctx, rampWait); err != nil {
 		return Result{}, err
 	}
 	bound := b.Bound()
@@ -223,12 +224,3 @@
 		OfBound: report.PerSecond / bound, Load: report, Broken: b.Violations(),
 	}, nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
