Hedge idempotent calls; script a restart after 500 changes

Cause: a service that hangs held idempotent calls for the whole of a try; nothing restarted the real processes after hundreds of changes. Change: a pool of services may name a span after which an idempotent call goes to a second upstream, within the retry budget; a voter and an observer are killed, miss 500 changes, and must be ready with the present at once.

--- a/internal/cli/command/script_test.go
+++ b/internal/cli/command/script_test.go
@@ -26,10 +26,12 @@
 		Dir:   "testdata",
 		Setup: setPorts,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet":    writeFleet,
-			"retry":    retry,
-			"cutfile":  cutFile,
-			"envsubst": envSubst,
+			"fleet":     writeFleet,
+			"retry":     retry,
+			"cutfile":   cutFile,
+			"envsubst":  envSubst,
+			"applymany": applyMany,
+			"readyat":   readyAt,
 		},
 	})
 }
--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -65,6 +65,9 @@
 	// KeepTokens is the tokens a second that a roll to another version keeps
 	// serving; 0 keeps half of what the pool can serve.
 	KeepTokens float64 `yaml:"keepTokensPerSecond,omitempty" json:"keepTokensPerSecond,omitempty"`
+	// HedgeAfter sends an idempotent call to a second upstream when the first has
+	// not answered by then; 0 never does. It counts as a retry.
+	HedgeAfter clock.Duration `yaml:"hedgeAfter,omitempty" json:"hedgeAfter,omitempty"`
 }
 
 // FencingKind says what the upstreams of a pool do with an old fencing number.
--- a/internal/control/tables/validate.go
+++ b/internal/control/tables/validate.go
@@ -65,6 +65,9 @@
 	if p.KeepTokens < 0 {
 		v.add(key+".keepTokensPerSecond", "must not be negative")
 	}
+	if p.HedgeAfter < 0 || p.HedgeAfter > 0 && p.IsModel() {
+		v.add(key+".hedgeAfter", "goes with service only and must not be negative")
+	}
 	if p.RetryShare < 0 || p.RetryShare > maxRetryShare {
 		v.add(key+".retryShare", "must be between 0 and %v", maxRetryShare)
 	}
--- /dev/null
+++ b/internal/request/filter/hedge.go
@@ -0,0 +1,49 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/fleet/registry"
+	"github.com/jasminecove/jasminecove/internal/request/exchange"
+)
+
+// hedge sends an idempotent call, and sends it to a second upstream when the
+// first has not answered within the pool's span and the retry budget allows it.
+// The first success counts; the other send is canceled.
+func (s *Services) hedge(ctx context.Context, x *exchange.Exchange, u *registry.Upstream, tried []string) (attempt, []string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan attempt, 2)
+	send := func(u *registry.Upstream) {
+		tried = append(tried, u.Id)
+		go func() { answers <- s.attempt(ctx, x, u, true) }()
+	}
+	send(u)
+	waiting := 1
+	timer := time.NewTimer(x.Pool.HedgeAfter.Std())
+	defer timer.Stop()
+	var last attempt
+	for waiting > 0 {
+		select {
+		case last = <-answers:
+			waiting--
+			s.record(x, last)
+			if last.err == nil && !last.notRun {
+				return last, tried
+			}
+		case <-timer.C:
+			second, err := s.dir.Service(x.Pool.Name, tried)
+			if err != nil {
+				continue
+			}
+			if !s.mayRetry(x) {
+				s.dir.ReleaseService(second.Id)
+				continue
+			}
+			send(second)
+			waiting++
+		}
+	}
+	return last, tried
+}
--- a/internal/request/filter/services.go
+++ b/internal/request/filter/services.go
@@ -60,11 +60,12 @@
 
 // attempt is the result of one send.
 type attempt struct {
-	status int
-	header http.Header
-	body   []byte
-	notRun bool // No byte was sent, or the service says so.
-	err    error
+	upstream string
+	status   int
+	header   http.Header
+	body     []byte
+	notRun   bool // No byte was sent, or the service says so.
+	err      error
 }
 
 // Serve sends a call, again where that is safe and the budget allows it.
@@ -80,14 +81,16 @@
 		if err != nil {
 			return s.fail(x, attempt{notRun: x.Outcome == refusal.NotRun, err: err})
 		}
-		a := s.send(ctx, x, u, repeatable)
-		s.dir.ReleaseService(u.Id)
+		var a attempt
+		if repeatable && x.Pool.HedgeAfter > 0 {
+			a, tried = s.hedge(ctx, x, u, tried)
+		} else {
+			a, tried = s.attempt(ctx, x, u, repeatable), append(tried, u.Id)
+			s.record(x, a)
+		}
 		if a.err == nil && !a.notRun {
-			s.dir.Report(x.Pool.Name, u.Id, true)
 			return s.answer(x, a)
 		}
-		s.dir.Report(x.Pool.Name, u.Id, false)
-		tried = append(tried, u.Id)
 		x.Outcome = outcomeOf(a)
 		mayRepeat := (a.notRun || repeatable) && try+1 < maxTries && ctx.Err() == nil && !expired(x.Deadline)
 		if !mayRepeat || !s.mayRetry(x) {
@@ -96,6 +99,22 @@
 	}
 }
 
+// attempt makes one send, and tells the directory how it went. A send that was
+// canceled says nothing of its upstream.
+func (s *Services) attempt(ctx context.Context, x *exchange.Exchange, u *registry.Upstream, repeatable bool) attempt {
+	a := s.send(ctx, x, u, repeatable)
+	s.dir.ReleaseService(u.Id)
+	if !errors.Is(a.err, context.Canceled) {
+		s.dir.Report(x.Pool.Name, u.Id, a.err == nil && !a.notRun)
+	}
+	return a
+}
+
+// record adds an attempt to the request's account.
+func (s *Services) record(x *exchange.Exchange, a attempt) {
+	x.Account.Sends = append(x.Account.Sends, exchange.Send{Upstream: a.upstream, Result: describe(a)})
+}
+
 func outcomeOf(a attempt) refusal.Outcome {
 	if a.notRun {
 		return refusal.NotRun
@@ -117,13 +136,13 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	req, err := outbound(ctx, x, u.Address)
 	if err != nil {
-		return attempt{notRun: true, err: err}
+		return attempt{upstream: u.Id, notRun: true, err: err}
 	}
 	a := roundTrip(transport, req)
 	if a.err != nil && !connected.Load() {
 		a.notRun = true
 	}
-	x.Account.Sends = append(x.Account.Sends, exchange.Send{Upstream: u.Id, Result: describe(a)})
+	a.upstream = u.Id
 	return a
 }
 
