Tell digests that came before the first VM was met; compare homes soon after

Ruled out: the drain itself, and the reach of the engine. Change: news waits for the first target; homes are compared with each target in turn every 0.5 s for 5 s after a VM was met.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -290,6 +290,10 @@
 	if len(c.pending) == 0 && len(c.digests) == 0 && !c.tell {
 		return
 	}
+	if len(c.order) == 0 && !c.left {
+		// News from before the first VM is met waits for it.
+		return
+	}
 	members := make([]*fleetpb.Member, 0, len(c.pending))
 	for _, vm := range sortedKeys(c.pending) {
 		members = append(members, c.entries[vm].member)
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -142,6 +142,21 @@
 	f.awaitAgreement(t, 5*clock.Second)
 }
 
+// TestNewsFromBeforeTheFirstMeetingIsTold tells a VM that knows no other yet of a
+// digest. The others must hear of it once they meet.
+func TestNewsFromBeforeTheFirstMeetingIsTold(t *testing.T) {
+	f := newFleet(7, 3, 3, lan)
+	f.carry("vm002", f.cores["vm002"].Update(f.now, gossip.DigestsMsg{Digests: []*fleetpb.Digest{{Id: "e1", Sequence: 1}}}))
+	f.carry("vm002", f.cores["vm002"].Update(f.now, gossip.TickMsg{}))
+	f.awaitAgreement(t, 10*clock.Second)
+	f.advance(clock.Second)
+	told := 0
+	for _, heard := range f.heard {
+		told += len(heard)
+	}
+	assert.Assert(t, told > 0, "nobody heard")
+}
+
 func TestLossAloneKillsNobody(t *testing.T) {
 	f := newFleet(2, 9, 3, lossy.Faults{MinDelay: 1, MaxDelay: 30, DropPercent: 5, DoublePercent: 2})
 	f.awaitAgreement(t, 20*clock.Second)
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
@@ -10,6 +10,14 @@
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
+// A VM that has just been met may have missed digests, so that homes are compared
+// at each look for a while after VMs came, and at every calmLooks-th look otherwise.
+const (
+	homesLook   = 500 * time.Millisecond
+	homesRecent = 5 * clock.Second
+	calmLooks   = 10
+)
+
 // A comparison names every home, so that in a fleet of more than fewVMs it is made
 // manyVMsFactor times less often.
 const (
@@ -97,6 +105,7 @@
 	case fleetpb.Member_ALIVE:
 		if e.Was != int32(fleetpb.Member_SUSPECT) {
 			p.log.Info("VM is here", "vm", vm)
+			p.movedAt.Store(int64(p.cfg.Clock.Now()))
 			p.cfg.Directory.HomeBack(vm)
 		}
 	case fleetpb.Member_SUSPECT:
@@ -116,16 +125,21 @@
 // that a digest that got lost is made up for.
 func (p *Plane) homesLoop(ctx context.Context) {
 	looks := 0
-	every(ctx, homesEvery, func() {
+	every(ctx, homesLook, func() {
 		p.mu.Lock()
 		targets, vms := p.gossip.Targets(), len(p.gossip.Live())
 		p.mu.Unlock()
 		looks++
-		if len(targets) == 0 || vms > fewVMs && looks%manyVMsFactor != 0 {
+		recent := p.cfg.Clock.Now().Sub(clock.Time(p.movedAt.Load())) < homesRecent
+		calm := calmLooks
+		if vms > fewVMs {
+			calm *= manyVMsFactor
+		}
+		if len(targets) == 0 || !recent && looks%calm != 0 {
 			return
 		}
 		m := &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_SYNC_REPLY, From: p.cfg.Settings.VM, Homes: p.cfg.Directory.HomeHashes()}
-		to := targets[rand.IntN(len(targets))]
+		to := targets[looks%len(targets)]
 		p.transport.Send(to, &fleetpb.Envelope{Body: &fleetpb.Envelope_Gossip{Gossip: m}})
 	})
 }
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -41,7 +41,6 @@
 	gossipTick  = 20 * time.Millisecond
 	stampEvery  = 500 * clock.Millisecond
 	formEvery   = 200 * time.Millisecond
-	homesEvery  = 5 * time.Second
 	demandEvery = 1 * time.Second
 	fetchPause  = 50 * time.Millisecond
 	callTimeout = 2 * time.Second
@@ -90,6 +89,7 @@
 	wake      chan struct{}
 	confirmed atomic.Bool  // The quorum has told the present once.
 	stampedAt atomic.Int64 // clock.Time of the newest stamp.
+	movedAt   atomic.Int64 // clock.Time at which a VM was last met.
 	drained   sync.Once
 	tasks     sync.WaitGroup
 	cancel    context.CancelFunc
