Make the reading commands by one shape

Cause: get, history, explain and status each repeated flags, client and output. Change: a reader holds what differs; one function makes the command.

--- a/internal/cli/command/read.go
+++ b/internal/cli/command/read.go
@@ -7,94 +7,105 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jasminecove/jasminecove/internal/cli/operator"
 )
 
-func getCommand(streams Streams) *ffcli.Command {
-	fs := flag.NewFlagSet("get", flag.ContinueOnError)
+// reader is a command that reads something from a VM and prints it.
+type reader struct {
+	name, usage, short, long string
+	register                 func(fs *flag.FlagSet) // Adds flags of its own, or nil.
+	// read returns what it read, and a function that prints it for people.
+	read func(ctx context.Context, c *operator.Client, args []string) (v any, text func(), err error)
+}
+
+// command makes the reader a command.
+func (r reader) command(streams Streams) *ffcli.Command {
+	fs := flag.NewFlagSet(r.name, flag.ContinueOnError)
 	var c connection
 	c.register(fs)
-	number := fs.Uint64("revision", 0, "a past revision; 0 for the present one")
+	if r.register != nil {
+		r.register(fs)
+	}
 	return &ffcli.Command{
-		Name:       "get",
-		ShortUsage: "jasminecove get [-revision 40]",
-		ShortHelp:  "print the tables",
-		LongHelp: `Example:
-  jasminecove get -revision 40 > tables.yaml`,
-		FlagSet: fs,
+		Name: r.name, ShortUsage: r.usage, ShortHelp: r.short, LongHelp: r.long, FlagSet: fs,
 		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
 			client, err := c.client()
 			if err != nil {
 				return err
 			}
-			r, err := client.Get(ctx, *number)
+			v, text, err := r.read(ctx, client, args)
 			if err != nil {
-				return called(err)
+				return err
 			}
-			return c.print(streams.Out, r, func() { fmt.Fprint(streams.Out, r.Document) })
+			return c.print(streams.Out, v, text)
 		},
 	}
 }
 
+func getCommand(streams Streams) *ffcli.Command {
+	var number uint64
+	return reader{
+		name: "get", usage: "jasminecove get [-revision 40]", short: "print the tables",
+		long: `Example:
+  jasminecove get -revision 40 > tables.yaml`,
+		register: func(fs *flag.FlagSet) {
+			fs.Uint64Var(&number, "revision", 0, "a past revision; 0 for the present one")
+		},
+		read: func(ctx context.Context, c *operator.Client, _ []string) (any, func(), error) {
+			r, err := c.Get(ctx, number)
+			return r, func() { fmt.Fprint(streams.Out, r.Document) }, called(err)
+		},
+	}.command(streams)
+}
+
 func historyCommand(streams Streams) *ffcli.Command {
-	fs := flag.NewFlagSet("history", flag.ContinueOnError)
-	var c connection
-	c.register(fs)
-	return &ffcli.Command{
-		Name:       "history",
-		ShortUsage: "jasminecove history",
-		ShortHelp:  "list the accepted revisions",
-		LongHelp: `Newest first.
+	return reader{
+		name: "history", usage: "jasminecove history", short: "list the accepted revisions",
+		long: `Newest first.
 
 Example:
   jasminecove history -output json`,
-		FlagSet: fs,
-		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
-		Exec: func(ctx context.Context, _ []string) error {
-			client, err := c.client()
-			if err != nil {
-				return err
-			}
-			all, err := client.History(ctx)
-			if err != nil {
-				return called(err)
-			}
-			return c.print(streams.Out, all, func() {
+		read: func(ctx context.Context, c *operator.Client, _ []string) (any, func(), error) {
+			all, err := c.History(ctx)
+			return all, func() {
 				for _, r := range all {
 					fmt.Fprintf(streams.Out, "%6d  %s  %-16s %s  %s\n", r.Number, r.At, r.Author, r.ChangeID, r.Note)
 				}
-			})
+			}, called(err)
 		},
-	}
+	}.command(streams)
 }
 
 func explainCommand(streams Streams) *ffcli.Command {
-	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
-	var c connection
-	c.register(fs)
-	return &ffcli.Command{
-		Name:       "explain",
-		ShortUsage: "jasminecove explain REQUEST-ID",
-		ShortHelp:  "tell what became of a request",
-		LongHelp: `Asks all VMs. Each remembers its newest 4096 requests.
+	return reader{
+		name: "explain", usage: "jasminecove explain REQUEST-ID", short: "tell what became of a request",
+		long: `Asks all VMs. Each remembers its newest 4096 requests.
 
 Example:
   jasminecove explain 4a29ce512e9484d3928d0dfa`,
-		FlagSet: fs,
-		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
-		Exec: func(ctx context.Context, args []string) error {
+		read: func(ctx context.Context, c *operator.Client, args []string) (any, func(), error) {
 			if len(args) != 1 {
-				return usage("give one request id")
+				return nil, nil, usage("give one request id")
 			}
-			client, err := c.client()
-			if err != nil {
-				return err
-			}
-			a, err := client.Explain(ctx, args[0])
-			if err != nil {
-				return called(err)
-			}
-			return c.print(streams.Out, a, func() { printAccount(streams.Out, a) })
+			a, err := c.Explain(ctx, args[0])
+			return a, func() { printAccount(streams.Out, a) }, called(err)
 		},
-	}
+	}.command(streams)
+}
+
+func statusCommand(streams Streams) *ffcli.Command {
+	return reader{
+		name: "status", usage: "jasminecove status", short: "show the fleet at a glance",
+		long: `Shows one VM's view: the VMs and the revision in force on each, the leader, the
+pools with their upstreams, and the age of the view.
+
+Example:
+  jasminecove status -server https://10.0.0.1:7002 -authority authority.pem -token-file token`,
+		read: func(ctx context.Context, c *operator.Client, _ []string) (any, func(), error) {
+			s, err := c.Status(ctx)
+			return s, func() { printStatus(streams.Out, s) }, called(err)
+		},
+	}.command(streams)
 }
--- a/internal/cli/command/status.go
+++ b/internal/cli/command/status.go
@@ -1,48 +1,15 @@
 package command
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"io"
 	"slices"
 
-	"github.com/peterbourgon/ff/v3"
-	"github.com/peterbourgon/ff/v3/ffcli"
-
 	"github.com/jasminecove/jasminecove/internal/node/admin"
 	"github.com/jasminecove/jasminecove/internal/routing/directory"
 )
 
-func statusCommand(streams Streams) *ffcli.Command {
-	fs := flag.NewFlagSet("status", flag.ContinueOnError)
-	var c connection
-	c.register(fs)
-	return &ffcli.Command{
-		Name:       "status",
-		ShortUsage: "jasminecove status",
-		ShortHelp:  "show the fleet at a glance",
-		LongHelp: `Shows one VM's view: the VMs and the revision in force on each, the leader, the
-pools with their upstreams, and the age of the view.
-
-Example:
-  jasminecove status -server https://10.0.0.1:7002 -authority authority.pem -token-file token`,
-		FlagSet: fs,
-		Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
-		Exec: func(ctx context.Context, _ []string) error {
-			client, err := c.client()
-			if err != nil {
-				return err
-			}
-			s, err := client.Status(ctx)
-			if err != nil {
-				return called(err)
-			}
-			return c.print(streams.Out, s, func() { printStatus(streams.Out, s) })
-		},
-	}
-}
-
+// printStatus writes a status for people.
 func printStatus(out io.Writer, s admin.Status) {
 	fmt.Fprintf(out, "seen from %s in %s: ready %s, revision %d, view %s old, %d requests in flight\n",
 		s.VM, s.DataCentre, s.Ready, s.Revision, s.ViewAge, s.InFlight)
