Let a group of voters be discovered, keep its size, and adopt tables by number

Cause: on the users' platform nobody names the voters, a lost VM comes back under another name, operators number their tables themselves, no keys are handed out, a VM may be suspended while its monotonic clock stands, and disks are small or fail for a while.

Measured: tests of control, fleet, node and base pass; the new roster and state tests fail without their rules.

--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -89,18 +89,22 @@
 	Now() Time
 }
 
-// System reads the machine's clock. Its readings never go backwards, because
-// they are counted from the process start on the monotonic clock.
+// System reads the machine's clock. Its readings never go backwards and count the
+// time for which the machine was suspended, so that a lease that others ended
+// meanwhile has ended here too.
 type System struct {
-	start time.Time
+	start Time // Wall time at the reading boot.
+	boot  time.Duration
 }
 
 // NewSystem returns a clock that starts at the machine's wall time.
-func NewSystem() *System { return &System{start: time.Now()} }
+func NewSystem() *System {
+	return &System{start: Time(time.Now().UnixMilli()), boot: sinceBoot()}
+}
 
 // Now implements Clock.
 func (c *System) Now() Time {
-	return Time(c.start.UnixMilli()) + Time(time.Since(c.start).Milliseconds())
+	return c.start + Time((sinceBoot() - c.boot).Milliseconds())
 }
 
 // Manual is a clock that moves only when it is told to.
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -49,13 +49,13 @@
 type Client struct {
 	vm    string
 	clock clock.Clock
-	local *replica.Replica // Nil on a VM without a replica.
+	local func() *replica.Replica // Returns nil while the VM has no replica.
 	fleet Fleet
 	hint  atomic.Value // VM that is thought to lead, a string.
 }
 
-// New returns a client. local is the VM's own replica or nil.
-func New(vm string, clk clock.Clock, local *replica.Replica, fleet Fleet) *Client {
+// New returns a client. local returns the VM's own replica or nil.
+func New(vm string, clk clock.Clock, local func() *replica.Replica, fleet Fleet) *Client {
 	c := &Client{vm: vm, clock: clk, local: local, fleet: fleet}
 	c.hint.Store("")
 	return c
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	if vm == c.vm {
-		return Serve(ctx, c.local, call), nil
+		return Serve(ctx, c.local(), call), nil
 	}
 	return c.fleet.Call(ctx, vm, call)
 }
--- a/internal/control/journal/journal.go
+++ b/internal/control/journal/journal.go
@@ -66,6 +66,7 @@
 	poisoned atomic.Bool
 	buf      []byte
 	records  int
+	size     int64
 }
 
 // Loaded is what a data folder held.
@@ -153,6 +154,7 @@
 		return &DamageError{File: journalFile, Offset: damage}
 	}
 	loaded.CutBytes = len(data) - good
+	j.size = int64(good)
 	j.records = len(payloads)
 	for _, payload := range payloads {
 		var r fleetpb.JournalRecord
@@ -219,12 +221,16 @@
 		return j.poison("sync", err)
 	}
 	j.records++
+	j.size += int64(len(j.buf))
 	return nil
 }
 
 // Records returns the number of records since the last Rewrite.
 func (j *Journal) Records() int { return j.records }
 
+// Size returns the bytes of the journal file.
+func (j *Journal) Size() int64 { return j.size }
+
 // SaveSnapshot stores a snapshot in place of an older one. It may run while
 // Append does: until Reset the journal holds entries that the snapshot covers,
 // which Open skips.
@@ -259,7 +265,7 @@
 	if j.file != nil {
 		_ = j.file.Close()
 	}
-	j.file, j.records = file, 1
+	j.file, j.records, j.size = file, 1, int64(len(payload))
 	return nil
 }
 
--- a/internal/control/raft/log.go
+++ b/internal/control/raft/log.go
@@ -72,6 +72,12 @@
 func (l *entryLog) compact(s Snapshot, keep uint64) {
 	l.snapshot = s
 	target := s.Index - min(keep, s.Index)
+	for size, i := 0, s.Index; i > max(target, l.first); i-- {
+		if size += len(l.at(i).Command); size > keepTailBytes {
+			target = i
+			break
+		}
+	}
 	if target <= l.first {
 		return
 	}
--- a/internal/control/raft/raft.go
+++ b/internal/control/raft/raft.go
@@ -20,6 +20,7 @@
 	defaultElection   = 300 * clock.Millisecond
 	defaultChunkBytes = 256 << 10
 	defaultKeepTail   = 1024
+	keepTailBytes     = 4 << 20
 	maxBatchEntries   = 512
 	maxBatchBytes     = 1 << 20
 	maxInFlight       = 64 // Appends to one follower that are not answered yet.
--- a/internal/control/replica/loop.go
+++ b/internal/control/replica/loop.go
@@ -187,7 +187,7 @@
 
 // snapshot saves the state in the background once the journal has grown.
 func (r *Replica) snapshot() {
-	if r.saving || r.journal.Records() < recordsPerSnapshot || r.state.Applied() <= r.core.SnapshotIndex() {
+	if r.saving || r.journal.Records() < recordsPerSnapshot && r.journal.Size() < bytesPerSnapshot || r.state.Applied() <= r.core.SnapshotIndex() {
 		return
 	}
 	r.saving = true
@@ -242,7 +242,12 @@
 	for vm := range r.retired {
 		retired = append(retired, vm)
 	}
-	next := roster.Next(r.core.Members(), wanted, retired, func(id string) bool { return r.core.Match(id) >= r.core.Commit() })
+	next := roster.Next(r.core.Members(), wanted, retired, r.cfg.Voters, roster.Peers{
+		CaughtUp: func(id string) bool { return r.core.Match(id) >= r.core.Commit() },
+		Silent: func(id string) bool {
+			return id != r.identity.Id && now.Sub(r.core.LastAck(id)) > silentAfter
+		},
+	})
 	if next == nil {
 		return
 	}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -39,7 +39,12 @@
 	// recordsPerSnapshot is how many records the journal holds before a snapshot
 	// takes their place.
 	recordsPerSnapshot = 4096
-	identityBytes      = 8
+	// bytesPerSnapshot bounds the journal on VMs with a small disk.
+	bytesPerSnapshot = 8 << 20
+	// silentAfter is how long a member may stay unheard before a successor may
+	// take its place.
+	silentAfter   = 3 * clock.Second
+	identityBytes = 8
 )
 
 // Sender carries messages to other replicas.
@@ -59,6 +64,8 @@
 	Sender    Sender
 	Heartbeat clock.Duration // 0 takes the default.
 	Election  clock.Duration
+	// Voters is the number of voters that the group keeps; 0 sets no bound.
+	Voters int
 	// Changed is called in the replica's goroutine when commands were applied.
 	Changed func(*state.State)
 }
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -10,15 +10,28 @@
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
+// Peers tells how the other replicas of the group stand.
+type Peers struct {
+	// CaughtUp reports whether a learner durably holds what is committed.
+	CaughtUp func(id string) bool
+	// Silent reports whether a replica has not been heard for long. Nil means
+	// that none is.
+	Silent func(id string) bool
+}
+
+func (p Peers) silent(id string) bool { return p.Silent != nil && p.Silent(id) }
+
 // Next returns the membership to propose, or nil when nothing is to be done.
 // wanted are replicas that asked to join, and VMs in retired leave the group.
-// caughtUp reports whether a learner durably holds what is committed.
+// target is the number of voters beyond which silent ones are removed and
+// learners stay learners; 0 sets no such bound.
 //
 // A replica of a VM whose disk was replaced first learns and then votes. The
 // agreement itself removes the VM's old identity as soon as that is committed.
-func Next(members *fleetpb.Membership, wanted []*fleetpb.Replica, retired []string, caughtUp func(id string) bool) *fleetpb.Membership {
+// A VM that is gone for good is removed once its successor votes.
+func Next(members *fleetpb.Membership, wanted []*fleetpb.Replica, retired []string, target int, peers Peers) *fleetpb.Membership {
 	next := proto.CloneOf(members)
-	if learn(next, wanted, retired) || promote(next, caughtUp) || retire(next, retired) {
+	if learn(next, wanted, retired) || promote(next, target, peers) || retire(next, retired) || trim(next, target, peers) {
 		return next
 	}
 	return nil
@@ -38,9 +51,14 @@
 	return false
 }
 
-func promote(next *fleetpb.Membership, caughtUp func(id string) bool) bool {
+// promote lets a learner that has caught up vote, where its VM's old identity or
+// a silent voter makes room, or the group is below its target.
+func promote(next *fleetpb.Membership, target int, peers Peers) bool {
 	for i, l := range next.Learners {
-		if caughtUp(l.Id) {
+		room := target == 0 || len(next.Voters) < target || slices.ContainsFunc(next.Voters, func(v *fleetpb.Replica) bool {
+			return v.Vm == l.Vm || peers.silent(v.Id)
+		})
+		if room && !peers.silent(l.Id) && peers.CaughtUp(l.Id) {
 			next.Learners = slices.Delete(next.Learners, i, i+1)
 			next.Voters = append(next.Voters, l)
 			return true
@@ -64,6 +82,21 @@
 	return false
 }
 
+// trim removes one silent replica: a voter while there are more than target, or
+// a learner.
+func trim(next *fleetpb.Membership, target int, peers Peers) bool {
+	gone := func(r *fleetpb.Replica) bool { return peers.silent(r.Id) }
+	if i := slices.IndexFunc(next.Voters, gone); target > 0 && len(next.Voters) > target && i >= 0 {
+		next.Voters = slices.Delete(next.Voters, i, i+1)
+		return true
+	}
+	if i := slices.IndexFunc(next.Learners, gone); target > 0 && i >= 0 {
+		next.Learners = slices.Delete(next.Learners, i, i+1)
+		return true
+	}
+	return false
+}
+
 func has(replicas []*fleetpb.Replica, id string) bool {
 	return slices.ContainsFunc(replicas, func(r *fleetpb.Replica) bool { return r.Id == id })
 }
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -16,7 +16,7 @@
 	wanted := []*fleetpb.Replica{replica("b", "b2")}
 	caughtUp := false
 	step := func() *fleetpb.Membership {
-		next := roster.Next(members, wanted, nil, func(string) bool { return caughtUp })
+		next := roster.Next(members, wanted, nil, 0, roster.Peers{CaughtUp: func(string) bool { return caughtUp }})
 		if next != nil {
 			members = next
 		}
@@ -32,7 +32,31 @@
 
 func TestRetiredVMLeavesButNotTheLast(t *testing.T) {
 	members := &fleetpb.Membership{Voters: []*fleetpb.Replica{replica("a", "a1"), replica("b", "b1")}}
-	next := roster.Next(members, nil, []string{"a", "b"}, nil)
+	next := roster.Next(members, nil, []string{"a", "b"}, 0, roster.Peers{})
 	assert.Equal(t, len(next.Voters), 1)
-	assert.Assert(t, roster.Next(next, nil, []string{"a", "b"}, nil) == nil)
+	assert.Assert(t, roster.Next(next, nil, []string{"a", "b"}, 0, roster.Peers{}) == nil)
+}
+
+// TestSuccessorOfALostVMVotesBeforeTheLostOneIsRemoved replaces a VM by another of
+// another name.
+func TestSuccessorOfALostVMVotesBeforeTheLostOneIsRemoved(t *testing.T) {
+	members := &fleetpb.Membership{Voters: []*fleetpb.Replica{replica("a", "a1"), replica("b", "b1"), replica("c", "c1")}}
+	wanted := []*fleetpb.Replica{replica("d", "d1")}
+	silent := map[string]bool{}
+	peers := roster.Peers{CaughtUp: func(string) bool { return true }, Silent: func(id string) bool { return silent[id] }}
+	const target = 3
+	step := func() *fleetpb.Membership {
+		next := roster.Next(members, wanted, nil, target, peers)
+		if next != nil {
+			members = next
+		}
+		return next
+	}
+	assert.Equal(t, len(step().Learners), 1)
+	assert.Assert(t, step() == nil, "a spare was promoted beside three live voters")
+	silent["b1"] = true
+	assert.Equal(t, len(step().Voters), 4)
+	assert.Equal(t, len(step().Voters), 3)
+	assert.Assert(t, step() == nil)
+	assert.Equal(t, members.Voters[2].Id, "d1")
 }
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -17,6 +17,9 @@
 const (
 	// KeptRevisions is how many past revisions can be read.
 	KeptRevisions = 512
+	// KeptRevisionBytes bounds the documents of past revisions, so that a
+	// snapshot stays small beside a small disk.
+	KeptRevisionBytes = 4 << 20
 	// KeptChanges is how many change identifiers are remembered, more than a
 	// day's changes at the two-year size.
 	KeptChanges = 25_000
@@ -78,6 +81,8 @@
 	switch b := c.Body.(type) {
 	case *fleetpb.Command_Apply:
 		return s.applyTables(c, b.Apply)
+	case *fleetpb.Command_Adopt:
+		return s.adoptTables(b.Adopt)
 	case *fleetpb.Command_Claim:
 		return s.claim(b.Claim)
 	case *fleetpb.Command_Settle:
@@ -102,12 +107,34 @@
 		Number: present.GetNumber() + 1, ChangeId: c.ChangeId, Author: a.Author, Note: a.Note,
 		AtMs: int64(s.now), Document: a.Document,
 	}
+	s.addRevision(next)
+	return &fleetpb.Result{Revision: next.Number}
+}
+
+// adoptTables accepts new tables when their number is higher than the present
+// one. A lower or equal number is answered alike and changes nothing, so that a
+// change may be sent again and in any order.
+func (s *State) adoptTables(a *fleetpb.AdoptTables) *fleetpb.Result {
+	present := s.Revision()
+	if a.Number <= present.GetNumber() {
+		return &fleetpb.Result{Revision: present.GetNumber()}
+	}
+	s.addRevision(&fleetpb.Revision{Number: a.Number, Author: a.Author, AtMs: int64(s.now), Document: a.Document})
+	return &fleetpb.Result{Revision: a.Number}
+}
+
+// addRevision puts a revision in force and forgets the oldest ones beyond the
+// bounds.
+func (s *State) addRevision(next *fleetpb.Revision) {
+	present := s.Revision()
 	invariant.Check(s.sink, next.Number > present.GetNumber(), "neverReverts", "revision %d after %d", next.Number, present.GetNumber())
-	s.revisions = append(s.revisions, next)
-	if len(s.revisions) > KeptRevisions {
-		s.revisions = slices.Clone(s.revisions[len(s.revisions)-KeptRevisions:])
+	all := append(slices.Clone(s.revisions), next)
+	first, size := len(all)-1, len(next.Document)
+	for first > 0 && len(all)-first < KeptRevisions && size+len(all[first-1].Document) <= KeptRevisionBytes {
+		first--
+		size += len(all[first].Document)
 	}
-	return &fleetpb.Result{Revision: next.Number}
+	s.revisions = all[first:]
 }
 
 // Revision returns the revision in force, or nil before the first.
--- a/internal/control/state/state_test.go
+++ b/internal/control/state/state_test.go
@@ -114,3 +114,32 @@
 		assert.DeepEqual(t, x, y)
 	})
 }
+
+// TestHighestNumberWins sends tables again, late and under a number that is held.
+func TestHighestNumberWins(t *testing.T) {
+	s := state.New(invariant.Fatal{})
+	index := uint64(0)
+	adopt := func(number uint64, document string) *fleetpb.Result {
+		index++
+		return s.Apply(index, &fleetpb.Command{Body: &fleetpb.Command_Adopt{Adopt: &fleetpb.AdoptTables{Number: number, Document: []byte(document)}}})
+	}
+	assert.Equal(t, adopt(3, "three").Revision, uint64(3))
+	assert.Equal(t, adopt(9, "nine").Revision, uint64(9))
+	for _, late := range []uint64{3, 5, 9} {
+		r := adopt(late, "other")
+		assert.Equal(t, r.Code, fleetpb.Result_OK)
+		assert.Equal(t, r.Revision, uint64(9))
+	}
+	assert.Equal(t, string(s.Revision().Document), "nine")
+}
+
+// TestKeptDocumentsAreBounded applies large documents and reads the newest.
+func TestKeptDocumentsAreBounded(t *testing.T) {
+	s := state.New(invariant.Fatal{})
+	large := make([]byte, state.KeptRevisionBytes/3)
+	for i := range uint64(10) {
+		s.Apply(i+1, &fleetpb.Command{Body: &fleetpb.Command_Adopt{Adopt: &fleetpb.AdoptTables{Number: i + 1, Document: large}}})
+	}
+	assert.Equal(t, len(s.History()), 3)
+	assert.Equal(t, s.Revision().Number, uint64(10))
+}
--- a/internal/fleet/keys/ring.go
+++ b/internal/fleet/keys/ring.go
@@ -49,6 +49,9 @@
 // a VM that has started again tells others at once that it does not know their
 // old connections.
 func (r *Ring) ResetSecret() ([32]byte, error) {
+	if r.folder == "" {
+		return sha256.Sum256([]byte("jasminecove stateless reset " + r.VM())), nil
+	}
 	data, err := os.ReadFile(filepath.Join(r.folder, keyFile))
 	if err != nil {
 		return [32]byte{}, fmt.Errorf("read key: %w", err)
@@ -83,7 +86,7 @@
 func (r *Ring) refresh() (*tls.Certificate, *x509.CertPool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now := time.Now(); now.Sub(r.looked) >= lookEvery {
+	if now := time.Now(); r.folder != "" && now.Sub(r.looked) >= lookEvery {
 		r.looked = now
 		if changed := r.times(); changed != r.changed {
 			if r.read() == nil {
@@ -139,6 +142,9 @@
 		return ErrPeer
 	}
 	_, authorities := r.refresh()
+	if authorities == nil {
+		return nil
+	}
 	_, err := chain[0].Verify(x509.VerifyOptions{
 		Roots: authorities, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	})
--- /dev/null
+++ b/internal/node/controlplane/adopt.go
@@ -0,0 +1,48 @@
+package controlplane
+
+import (
+	"context"
+
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Adopt commits tables under a number of the operator's own. The highest number is
+// in force; a lower or equal one changes nothing. An invalid document gives the
+// error of Config.Parse. After another error the tables may or may not be committed.
+func (p *Plane) Adopt(ctx context.Context, number uint64, document []byte, author string) (present uint64, err error) {
+	if _, err := p.cfg.Parse(document); err != nil {
+		return 0, err
+	}
+	result, err := p.client.Propose(ctx, &fleetpb.Command{
+		Body: &fleetpb.Command_Adopt{Adopt: &fleetpb.AdoptTables{Number: number, Document: document, Author: author}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	p.wantRevision(result.Revision, p.cfg.Settings.VM)
+	return result.Revision, nil
+}
+
+// Newest reads the newest committed revision from the quorum. It is nil before the
+// first.
+func (p *Plane) Newest(ctx context.Context) (*fleetpb.Revision, error) {
+	reply, err := p.client.Read(ctx, &fleetpb.ReadState{Tables: true})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetState().GetRevision(), nil
+}
+
+// ShareOccupancy tells the VMs that this one exchanges messages with what its
+// requests hold on upstreams.
+func (p *Plane) ShareOccupancy(o *fleetpb.Occupancy) {
+	if p.transport == nil {
+		return
+	}
+	p.mu.Lock()
+	targets := p.gossip.Targets()
+	p.mu.Unlock()
+	for _, address := range targets {
+		p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Occupancy{Occupancy: o}})
+	}
+}
--- a/internal/node/controlplane/calls.go
+++ b/internal/node/controlplane/calls.go
@@ -12,8 +12,12 @@
 func (p *Plane) Message(fromVM string, e *fleetpb.Envelope) {
 	switch b := e.Body.(type) {
 	case *fleetpb.Envelope_Raft:
-		if p.replica != nil {
-			p.replica.Deliver(fromVM, b.Raft)
+		if r := p.replica.Load(); r != nil {
+			r.Deliver(fromVM, b.Raft)
+		}
+	case *fleetpb.Envelope_Occupancy:
+		if p.cfg.Occupied != nil {
+			p.cfg.Occupied(fromVM, b.Occupancy)
 		}
 	case *fleetpb.Envelope_Gossip:
 		b.Gossip.From = fromVM
@@ -26,7 +30,7 @@
 	c.From = vm
 	switch b := c.Body.(type) {
 	case *fleetpb.Call_Form:
-		return p.answerForm()
+		return p.answerForm(vm, b.Form)
 	case *fleetpb.Call_Drain:
 		p.drained.Do(p.cfg.Drain)
 		return &fleetpb.Reply{}
@@ -41,18 +45,21 @@
 			return &fleetpb.Reply{State: p.notice(b.Read.Have)}
 		}
 	}
-	return client.Serve(ctx, p.replica, c)
+	return client.Serve(ctx, p.replica.Load(), c)
 }
 
 // answerForm tells whether this VM's replica belongs to a group.
-func (p *Plane) answerForm() *fleetpb.Reply {
-	if p.replica == nil {
+func (p *Plane) answerForm(vm string, q *fleetpb.FormQuery) *fleetpb.Reply {
+	r := p.replica.Load()
+	if r == nil {
 		return &fleetpb.Reply{Code: fleetpb.Reply_REFUSED, Detail: "the VM has no replica"}
 	}
-	st := p.replica.Status()
-	return &fleetpb.Reply{Form: &fleetpb.FormAnswer{
-		Replica: &fleetpb.Replica{Id: st.ID, Vm: p.cfg.Settings.VM}, Formed: st.Formed,
-	}}
+	st := r.Status()
+	answer := &fleetpb.FormAnswer{Replica: &fleetpb.Replica{Id: st.ID, Vm: p.cfg.Settings.VM}, Formed: st.Formed}
+	if q.Promise && !st.Formed {
+		answer.Promised = p.promise(vm)
+	}
+	return &fleetpb.Reply{Form: answer}
 }
 
 // fleet lets the client of the control state call other VMs.
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -35,8 +35,8 @@
 	self := &fleetpb.Member{
 		Vm: s.VM, Address: address, DataCentre: s.DataCentre, Incarnation: now, Boot: now, CallersAddress: s.Listen.Callers,
 	}
-	if p.replica != nil {
-		self.Replica = p.replica.ID()
+	if r := p.replica.Load(); r != nil {
+		self.Replica = r.ID()
 	}
 	p.mu.Lock()
 	p.gossip = gossip.New(self, p.cfg.Source, s.Fleet.Seeds)
@@ -49,10 +49,13 @@
 	every(ctx, gossipTick, func() {
 		p.update(gossip.TickMsg{})
 		now := p.cfg.Clock.Now()
-		if now.Sub(stampAt) < stampEvery || p.replica == nil {
+		if now.Sub(stampAt) < stampEvery {
+			return
+		}
+		st, ok := p.ReplicaStatus()
+		if !ok {
 			return
 		}
-		st := p.replica.Status()
 		if st.Role == "leader" && st.LeaseLeft > 0 {
 			stampAt = now
 			stamps++
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
@@ -20,11 +21,11 @@
 	"github.com/jasminecove/jasminecove/internal/control/journal"
 	"github.com/jasminecove/jasminecove/internal/control/replica"
 	"github.com/jasminecove/jasminecove/internal/control/state"
+	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/fleet/link"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
-	"github.com/jasminecove/jasminecove/internal/routing/directory"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
@@ -44,6 +45,8 @@
 	demandEvery = 1 * time.Second
 	fetchPause  = 50 * time.Millisecond
 	callTimeout = 2 * time.Second
+	// reopenEvery is the span between two tries to use a disk that failed.
+	reopenEvery = 1 * time.Second
 )
 
 // Config is what a plane is made of.
@@ -52,9 +55,13 @@
 	Clock     clock.Clock
 	Sink      invariant.Sink
 	Log       hclog.Logger
-	Directory *directory.Directory
+	Directory Directory
 	Limits    Limits
-	Source    *rng.Source
+	// Parse reads a tables document. Nil takes tables.Parse.
+	Parse func(document []byte) (*tables.Document, error)
+	// Occupied is told what another VM's requests hold on upstreams, if set.
+	Occupied func(vm string, o *fleetpb.Occupancy)
+	Source   *rng.Source
 	// Initial is the tables document that a new group starts with, if any.
 	Initial []byte
 	// Drain is called when another VM asks this one to drain.
@@ -63,6 +70,16 @@
 	Explain func(requestID string) []byte
 }
 
+// Directory is a VM's view of upstreams, and takes the tables in force.
+type Directory interface {
+	SetTables(doc *tables.Document)
+	TakeDigests(digests []*fleetpb.Digest) (news []*fleetpb.Digest)
+	DigestsOf(homes []string) []*fleetpb.Digest
+	HomeHashes() []*fleetpb.HomeHash
+	HomeLost(vm string)
+	HomeBack(vm string)
+}
+
 // Limits are the organisations' limits, whose demand the VMs share.
 type Limits interface {
 	Demands() map[string]float64
@@ -74,8 +91,8 @@
 type Plane struct {
 	cfg       Config
 	log       hclog.Logger
-	transport *link.Transport // Nil on a lone VM.
-	replica   *replica.Replica
+	transport *link.Transport                 // Nil on a lone VM.
+	replica   atomic.Pointer[replica.Replica] // Nil without a disk, or while it fails.
 	client    *client.Client
 	demand    *demandHome
 
@@ -87,6 +104,7 @@
 	patches   patchCache
 	wanted    atomic.Pointer[want]
 	wake      chan struct{}
+	promised  atomic.Value // Name of the VM that this one forms a new group with, a string.
 	confirmed atomic.Bool  // The quorum has told the present once.
 	stampedAt atomic.Int64 // clock.Time of the newest stamp.
 	movedAt   atomic.Int64 // clock.Time at which a VM was last met.
@@ -106,10 +124,13 @@
 func New(cfg Config) (*Plane, error) {
 	p := &Plane{cfg: cfg, log: cfg.Log.Named("control"), wake: make(chan struct{}, 1), failed: make(chan error, 1)}
 	p.demand = newDemandHome(cfg.Clock)
+	if p.cfg.Parse == nil {
+		p.cfg.Parse = tables.Parse
+	}
 	if err := p.openReplica(); err != nil {
 		return nil, err
 	}
-	p.client = client.New(cfg.Settings.VM, cfg.Clock, p.replica, fleet{p})
+	p.client = client.New(cfg.Settings.VM, cfg.Clock, p.replica.Load, fleet{p})
 	return p, nil
 }
 
@@ -119,7 +140,7 @@
 	s := p.cfg.Settings
 	address := ""
 	if s.Listen.Fleet != "" {
-		ring, err := keys.Load(s.Fleet.Keys)
+		ring, err := loadRing(s)
 		if err != nil {
 			return err
 		}
@@ -133,7 +154,7 @@
 		address = p.transport.Address()
 	}
 	p.startGossip(address)
-	if p.replica != nil {
+	if p.replica.Load() != nil {
 		p.task(func() { p.runReplica(ctx) })
 		p.task(func() { p.form(ctx) })
 	}
@@ -161,16 +182,44 @@
 	}
 	r, err := replica.Open(replica.Config{
 		VM: s.VM, Disk: disk, Clock: p.cfg.Clock, Source: rng.New(p.cfg.Source.Uint64()), Sink: p.cfg.Sink, Log: p.cfg.Log,
-		Sender: p, Changed: p.stateChanged,
+		Sender: p, Changed: p.stateChanged, Voters: s.Fleet.VoterTarget(),
 	})
-	p.replica = r
-	return err
+	if err != nil {
+		return err
+	}
+	p.replica.Store(r)
+	return nil
 }
 
+// runReplica runs the VM's replica. When its disk fails, the VM goes on without a
+// replica and opens the data folder again until it can be used: what the journal
+// holds is then read from the disk and not taken from memory.
 func (p *Plane) runReplica(ctx context.Context) {
-	if err := p.replica.Run(ctx); err != nil {
-		p.failed <- err
+	err := p.replica.Load().Run(ctx)
+	for ctx.Err() == nil && err != nil {
+		p.replica.Store(nil)
+		p.log.Error("replica stopped, the disk failed", "error", err)
+		if p.cfg.Settings.Fleet.BearFaults == 0 {
+			p.failed <- err
+			return
+		}
+		if delay.Wait(ctx, reopenEvery) != nil {
+			return
+		}
+		if err = p.openReplica(); err != nil {
+			continue
+		}
+		p.log.Info("replica opened again", "id", p.replica.Load().ID())
+		err = p.replica.Load().Run(ctx)
+	}
+}
+
+// loadRing returns the VM's keys as its settings say.
+func loadRing(s settings.Settings) (*keys.Ring, error) {
+	if s.Fleet.WithoutKeys {
+		return keys.Unverified(s.VM)
 	}
+	return keys.Load(s.Fleet.Keys)
 }
 
 // Failed carries the error of a disk that may not be trusted any more. The
@@ -200,7 +249,7 @@
 
 // Age returns how old the VM's view of the control state is.
 func (p *Plane) Age() clock.Duration {
-	if p.replica != nil && p.replica.Status().LeaseLeft > 0 {
+	if r := p.replica.Load(); r != nil && r.Status().LeaseLeft > 0 {
 		return 0
 	}
 	at := p.stampedAt.Load()
@@ -260,18 +309,20 @@
 
 // ReplicaStatus returns the status of the VM's replica, if it has one.
 func (p *Plane) ReplicaStatus() (replica.Status, bool) {
-	if p.replica == nil {
+	r := p.replica.Load()
+	if r == nil {
 		return replica.Status{}, false
 	}
-	return p.replica.Status(), true
+	return r.Status(), true
 }
 
 // OrderLease returns the lease of the VM's replica, if it leads.
 func (p *Plane) OrderLease() (term uint64, left clock.Duration) {
-	if p.replica == nil {
+	r := p.replica.Load()
+	if r == nil {
 		return 0, 0
 	}
-	return p.replica.OrderLease()
+	return r.OrderLease()
 }
 
 // LinkStats returns what the VM's links carried.
@@ -284,8 +335,8 @@
 
 // SetDraining tells other VMs that this one drains, and hands the lead over.
 func (p *Plane) SetDraining() {
-	if p.replica != nil {
-		p.replica.HandOver()
+	if r := p.replica.Load(); r != nil {
+		r.HandOver()
 	}
 	p.update(gossip.DrainMsg{Draining: true})
 }
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -9,7 +9,6 @@
 	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/control/patch"
-	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
@@ -24,7 +23,7 @@
 		invariant.Check(p.cfg.Sink, same, "oneWinnerARevision", "two documents are revision %d", rev.Number)
 		return
 	}
-	doc, err := tables.Parse(rev.Document)
+	doc, err := p.cfg.Parse(rev.Document)
 	if err != nil {
 		p.log.Error("committed tables are not readable", "revision", rev.Number, "error", err)
 		return
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -41,6 +41,15 @@
 	// Voters names the VMs that form the group at the first start.
 	Voters []string `yaml:"voters,omitempty"`
 	Keys   string   `yaml:"keys,omitempty"` // Folder with the VM's certificate.
+	// WithoutKeys lets the VM make a certificate for itself on a closed network;
+	// see keys.Unverified.
+	WithoutKeys bool `yaml:"withoutKeys,omitempty"`
+	// BearFaults is how many VMs with a disk may be lost at once. Where it is set,
+	// voters are discovered in place of being named: twice as many and one.
+	BearFaults int `yaml:"bearFaults,omitempty"`
+	// FirstStart says that no group exists yet, so that discovered voters may form
+	// one.
+	FirstStart bool `yaml:"firstStart,omitempty"`
 	// ReadyMaxAge makes the VM unready when its view of the control state is
 	// older; 0 never does.
 	ReadyMaxAge clock.Duration `yaml:"readyMaxAge,omitempty"`
@@ -120,6 +129,15 @@
 	}
 }
 
+// VoterTarget returns the number of voters that the group keeps, or 0 when they are
+// named.
+func (f Fleet) VoterTarget() int {
+	if f.BearFaults == 0 {
+		return 0
+	}
+	return 2*f.BearFaults + 1
+}
+
 // WithVM returns the settings for another VM name.
 func (s Settings) WithVM(name string) Settings {
 	s.VM = name
