Forward requests as they are, along paths of engines, on the users' platform

Cause: the product could not pass an opaque answer on, choose a path that engines forward along themselves, or place layers on engines that start empty.

Change: tables of forwarded routes; routing/chain chooses a path, routing/layers places layers by memory within each data centre, routing/catalog keeps upstreams, upstream/call sends with a known outcome, request/eventstream passes whole events only, request/retryshare bounds repeats without a message, request/forward joins them in a filter chain, node/placer gives the orders, node/router assembles, platform/ translates.

--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -15,6 +15,10 @@
 type Document struct {
 	Routes []Route `yaml:"routes" json:"routes"`
 	Pools  []Pool  `yaml:"pools" json:"pools"`
+	// Organisations and Callers are set where they change with the tables and not
+	// with the VM's settings.
+	Organisations []Organisation `yaml:"organisations,omitempty" json:"organisations,omitempty"`
+	Callers       CallerLimits   `yaml:"callers,omitempty" json:"callers,omitempty"`
 }
 
 // Route sends the requests that it matches to the pool that it names.
@@ -28,11 +32,26 @@
 	Deadline clock.Duration `yaml:"deadline,omitempty" json:"deadline,omitempty"`
 	// Organisations limits the route to these; empty admits all.
 	Organisations []string `yaml:"organisations,omitempty" json:"organisations,omitempty"`
+
+	// The fields below are of forwarded routes, which name a host.
+
+	// Split spreads requests over pools by weight, in place of Pool.
+	Split []Share `yaml:"split,omitempty" json:"split,omitempty"`
+	// Attempts bounds the upstreams that one request is sent to; 0 means 1.
+	Attempts int `yaml:"attempts,omitempty" json:"attempts,omitempty"`
+	// Objective is the time to the answer, or to its first event, that is on time.
+	Objective clock.Duration `yaml:"objective,omitempty" json:"objective,omitempty"`
+	Priority  int            `yaml:"priority,omitempty" json:"priority,omitempty"` // 0 is the highest.
+	// Anonymous admits requests without a key.
+	Anonymous bool    `yaml:"anonymous,omitempty" json:"anonymous,omitempty"`
+	Events    *Events `yaml:"events,omitempty" json:"events,omitempty"`
 }
 
 // Match selects requests, by model or by path and method.
 type Match struct {
-	Model      string   `yaml:"model,omitempty" json:"model,omitempty"`
+	Model string `yaml:"model,omitempty" json:"model,omitempty"`
+	// Host makes the route a forwarded one. It is compared without its port.
+	Host       string   `yaml:"host,omitempty" json:"host,omitempty"`
 	PathPrefix string   `yaml:"pathPrefix,omitempty" json:"pathPrefix,omitempty"`
 	Methods    []string `yaml:"methods,omitempty" json:"methods,omitempty"`
 }
@@ -68,6 +87,11 @@
 	// HedgeAfter sends an idempotent call to a second upstream when the first has
 	// not answered by then; 0 never does. It counts as a retry.
 	HedgeAfter clock.Duration `yaml:"hedgeAfter,omitempty" json:"hedgeAfter,omitempty"`
+	// MaxConnections bounds the connections that an upstream accepts; 0 is unknown.
+	MaxConnections int    `yaml:"maxConnections,omitempty" json:"maxConnections,omitempty"`
+	HealthPath     string `yaml:"healthPath,omitempty" json:"healthPath,omitempty"`
+	// Engine is set where the pool's upstreams forward along a path.
+	Engine *Engine `yaml:"engine,omitempty" json:"engine,omitempty"`
 }
 
 // FencingKind says what the upstreams of a pool do with an old fencing number.
--- a/internal/control/tables/validate.go
+++ b/internal/control/tables/validate.go
@@ -15,6 +15,7 @@
 	v.pools()
 	v.routes()
 	v.reachable()
+	v.organisations()
 	return v.faults
 }
 
@@ -47,6 +48,7 @@
 	if (p.Model == "") == (p.Service == "") {
 		v.add(key, "a pool needs either model or service")
 	}
+	v.engine(key, p)
 	if p.IsModel() && p.Layers == 0 {
 		v.add(key+".layers", "a pool of engines needs the model's number of layers")
 	}
@@ -80,7 +82,7 @@
 		if r.Name == "" {
 			v.add(key+".name", "a route needs a name")
 		}
-		if names[r.Name] {
+		if names[r.Name] && !r.IsForwarded() {
 			v.add(key+".name", "route %q is defined twice", r.Name)
 		}
 		names[r.Name] = true
@@ -89,8 +91,11 @@
 }
 
 func (v *validator) route(key string, r Route) {
+	if r.IsForwarded() {
+		v.forwarded(key, r)
+	}
 	pool, ok := v.doc.Pool(r.Pool)
-	if !ok {
+	if !ok && len(r.Split) == 0 {
 		v.add(key+".pool", "there is no pool named %q", r.Pool)
 	}
 	if (r.Match.Model == "") == (r.Match.PathPrefix == "") {
@@ -115,8 +120,17 @@
 
 // reachable finds routes that an earlier route hides and reserved paths.
 func (v *validator) reachable() {
+	seen := map[string]string{}
 	for i, r := range v.doc.Routes {
 		key := fmt.Sprintf("routes[%d].match", i)
+		if r.IsForwarded() {
+			place := r.Match.Host + r.Match.PathPrefix
+			if earlier, taken := seen[place]; taken {
+				v.add(key, "unreachable: route %q has the same host and prefix", earlier)
+			}
+			seen[place] = r.Name
+			continue
+		}
 		if strings.HasPrefix(r.Match.PathPrefix, "/v1/chat/") || strings.HasPrefix(r.Match.PathPrefix, "/v1/completions") {
 			v.add(key, "path %q is reserved for models", r.Match.PathPrefix)
 		}
@@ -130,7 +144,7 @@
 }
 
 func hides(earlier, later Route) bool {
-	if earlier.Match.Model != later.Match.Model || earlier.Match.PathPrefix != later.Match.PathPrefix {
+	if earlier.Match.Host != later.Match.Host || earlier.Match.Model != later.Match.Model || earlier.Match.PathPrefix != later.Match.PathPrefix {
 		return false
 	}
 	if len(earlier.Match.Methods) == 0 {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -343,3 +343,6 @@
 	}
 	return xxhash.Sum64String(m.Vm) * (m.Incarnation | 1)
 }
+
+// SetSeeds replaces the fleet addresses at which lost VMs are looked for.
+func (c *Core) SetSeeds(seeds []string) { c.seeds = seeds }
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -47,11 +47,24 @@
 	vm        string
 	upstreams map[string]*Upstream
 	version   uint64
+	maxLease  clock.Duration
+}
+
+// Option changes how a Registry behaves.
+type Option func(*Registry)
+
+// WithMaxLease bounds leases by another span, for upstreams that renew seldom.
+func WithMaxLease(span clock.Duration) Option {
+	return func(r *Registry) { r.maxLease = span }
 }
 
 // New returns the empty registry of a VM.
-func New(vm string) *Registry {
-	return &Registry{vm: vm, upstreams: map[string]*Upstream{}}
+func New(vm string, opts ...Option) *Registry {
+	r := &Registry{vm: vm, upstreams: map[string]*Upstream{}, maxLease: MaxLease}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // Version grows with each change that matters to routing.
@@ -71,7 +84,7 @@
 	}
 	changed := u == nil || u.gone || u.Home != r.vm || materially(u.Announcement, a)
 	next := r.replace(now, u, a, r.vm)
-	next.expires = now.Add(effectiveLease(clock.Duration(a.LeaseMs)))
+	next.expires = now.Add(min(r.maxLease, max(MinLease, clock.Duration(a.LeaseMs))))
 	if u != nil {
 		next.told = u.told
 	}
@@ -148,6 +161,23 @@
 	return ended
 }
 
+// endGap is how many announcements of a process may still be under way when it has
+// said that it ends.
+const endGap = 16
+
+// End ends an upstream that says so itself. It returns the digest that tells other VMs,
+// or nil when the upstream is not known. Announcements that are still under way do
+// not bring it back; a later start does, because its sequence is higher.
+func (r *Registry) End(now clock.Time, id string) *fleetpb.Digest {
+	u := r.upstreams[id]
+	if u == nil || u.gone {
+		return nil
+	}
+	d := &fleetpb.Digest{Id: id, Sequence: u.Sequence + endGap, Home: r.vm}
+	r.bury(now, d)
+	return d
+}
+
 // HomeLost starts the grace of the upstreams whose home has failed or left.
 func (r *Registry) HomeLost(now clock.Time, vm string) {
 	for _, u := range r.upstreams {
--- a/internal/node/controlplane/adopt.go
+++ b/internal/node/controlplane/adopt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
@@ -46,3 +47,13 @@
 		p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Occupancy{Occupancy: o}})
 	}
 }
+
+// TellDigests tells other VMs of changes among the upstreams whose home is here.
+func (p *Plane) TellDigests(digests []*fleetpb.Digest) { p.update(gossip.DigestsMsg{Digests: digests}) }
+
+// SetSeeds replaces the addresses at which lost VMs are looked for.
+func (p *Plane) SetSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gossip.SetSeeds(seeds)
+}
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/pipeline/driver"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
+	"github.com/jasminecove/jasminecove/internal/routing/lookup"
 )
 
 // Exchange is one request and what the filters found out about it.
@@ -27,6 +28,7 @@
 	Model   *ModelCall // Set on calls of models.
 	Route   tables.Route
 	Pool    tables.Pool
+	Forward Forwarded // Set on forwarded requests.
 	Outcome refusal.Outcome
 	Account Account
 }
@@ -41,6 +43,15 @@
 	Usage     bool // The stream ends with the usage.
 }
 
+// Forwarded is what the chain finds out about a request that is passed on as it is.
+type Forwarded struct {
+	Tables *lookup.Index // Tables in force when the request arrived.
+	Route  *tables.Route
+	Pool   *tables.Pool
+	// Priority is the organisation's, or else the route's; 0 is the highest.
+	Priority int
+}
+
 // Account is what became of a request, for explain.
 type Account struct {
 	ID           string          `json:"id"`
--- /dev/null
+++ b/internal/request/forward/filters.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/request/exchange"
+	"github.com/jasminecove/jasminecove/internal/request/refusal"
+	"github.com/jasminecove/jasminecove/internal/routing/lookup"
+)
+
+// Spans to come back after.
+const (
+	// notReadyBack is for a VM that does not know the tables yet.
+	notReadyBack = 500 * clock.Millisecond
+	// defaultBody bounds a body when the tables set no bound.
+	defaultBody = 4 << 20
+)
+
+// routeFilter finds the route, the pool and the deadline.
+type routeFilter struct{ h *Handler }
+
+// Name implements exchange.Filter.
+func (f *routeFilter) Name() string { return "route" }
+
+// Serve implements exchange.Filter.
+func (f *routeFilter) Serve(ctx context.Context, x *exchange.Exchange, next exchange.Handler) error {
+	index := f.h.cfg.Catalog.Tables()
+	if err := f.h.cfg.Ready(); index == nil || err != nil && !f.h.cfg.Closing() {
+		return refusal.New(refusal.NotReady, http.StatusServiceUnavailable, "the tables in force are not known yet").WithRetryAfter(notReadyBack).WithCause(err)
+	}
+	route, ok := index.Route(x.R.Host, x.R.URL.Path)
+	if !ok {
+		return refusal.New(refusal.UnknownRoute, http.StatusNotFound, "no route matches the host and path")
+	}
+	x.Forward = exchange.Forwarded{Tables: index, Route: route, Priority: route.Priority}
+	x.Account.Route = route.Name
+	x.Account.Pool = lookup.Split(route, f.h.random())
+	x.Forward.Pool, ok = index.Pool(x.Account.Pool)
+	if !ok {
+		return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "the route's pool is not known").WithRetryAfter(notReadyBack)
+	}
+	limit := route.Deadline
+	if told := milliseconds(x.R.Header, f.h.cfg.Dialect.Deadline); told > 0 {
+		limit = min(limit, told)
+	}
+	x.Deadline = x.Received.Add(limit.Std())
+	return next(ctx, x)
+}
+
+// organisationFilter finds the organisation that a request's key belongs to.
+type organisationFilter struct{ h *Handler }
+
+// Name implements exchange.Filter.
+func (f *organisationFilter) Name() string { return "organisation" }
+
+// Serve implements exchange.Filter.
+func (f *organisationFilter) Serve(ctx context.Context, x *exchange.Exchange, next exchange.Handler) error {
+	index := x.Forward.Tables
+	o, known := index.Organisation(f.h.cfg.Dialect.key(x.R.Header))
+	switch {
+	case known:
+		x.Organisation = o.Name
+		x.Forward.Priority = o.Priority
+	case index.HasOrganisations() && !x.Forward.Route.Anonymous:
+		return refusal.New(refusal.Unauthorized, http.StatusUnauthorized, "the key is not known")
+	}
+	return next(ctx, x)
+}
+
+// bodyFilter reads the body within its bounds of size and time.
+type bodyFilter struct{ h *Handler }
+
+// Name implements exchange.Filter.
+func (f *bodyFilter) Name() string { return "body" }
+
+// Serve implements exchange.Filter.
+func (f *bodyFilter) Serve(ctx context.Context, x *exchange.Exchange, next exchange.Handler) error {
+	limit := x.Forward.Tables.Document().Callers.MaxBodyBytes
+	if limit == 0 {
+		limit = defaultBody
+	}
+	tooLarge := refusal.New(refusal.TooLarge, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
+	if x.R.ContentLength > limit {
+		return tooLarge
+	}
+	if x.R.ContentLength != 0 {
+		control := http.NewResponseController(x.W)
+		if err := control.SetReadDeadline(x.Deadline); err != nil {
+			return refusal.New(refusal.Internal, http.StatusServiceUnavailable, "the body cannot be read").WithCause(err)
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(x.W, x.R.Body, limit))
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return tooLarge
+		}
+		if err != nil {
+			return refusal.New(refusal.BadRequest, http.StatusRequestTimeout, "the body did not arrive in time").WithCause(err)
+		}
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			return refusal.New(refusal.Internal, http.StatusServiceUnavailable, "the connection cannot be watched").WithCause(err)
+		}
+		x.Body = body
+	}
+	return next(ctx, x)
+}
+
+// sendFilter is the last: it sends the request to upstreams.
+type sendFilter struct{ h *Handler }
+
+// Name implements exchange.Filter.
+func (f *sendFilter) Name() string { return "send" }
+
+// Serve implements exchange.Filter.
+func (f *sendFilter) Serve(ctx context.Context, x *exchange.Exchange, _ exchange.Handler) error {
+	ctx, cancel := context.WithDeadline(ctx, x.Deadline)
+	defer cancel()
+	f.h.countFirst(x.Forward.Pool.Name)
+	if x.Forward.Route.Events != nil {
+		return newStream(f.h, x).run(ctx)
+	}
+	return (&plain{h: f.h, x: x, exclude: map[string]bool{}}).run(ctx)
+}
+
+// left returns the time until a request's deadline.
+func left(x *exchange.Exchange) clock.Duration {
+	return clock.Duration(time.Until(x.Deadline) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/request/forward/stream.go
@@ -0,0 +1,376 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/request/eventstream"
+	"github.com/jasminecove/jasminecove/internal/request/exchange"
+	"github.com/jasminecove/jasminecove/internal/request/refusal"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
+)
+
+// Constants of streams.
+const (
+	// waitPart is the part of the route's objective for which a request waits for room
+	// on a path before it is refused.
+	waitPart = 8
+	// resumeWait is how long a broken stream waits for a path that has room.
+	resumeWait = 1500 * time.Millisecond
+	// firstFactor and firstSlack bound the wait for a first event by the estimate.
+	firstFactor = 6
+	firstSlack  = 900 * time.Millisecond
+	// gapFactor and gapSlack bound the pause between two events by the estimate.
+	gapFactor = 10
+	gapSlack  = 500 * time.Millisecond
+	// patience is how long callers wait for the next event at least.
+	patience = 2 * time.Second
+	// stallPause is for how long an engine that was found at fault gets no requests.
+	stallPause = 2 * clock.Second
+	// urgencies is the number of ranks that engines know.
+	urgencies = 10
+)
+
+// stream is a request whose answer is a stream of events.
+type stream struct {
+	h       *Handler
+	x       *exchange.Exchange
+	exclude map[string]bool
+	prompt  int
+	answer  int
+	asked   int64 // Number of the event after which the caller asked to go on.
+	last    int64 // Number of the newest event that the caller has.
+	begun   bool  // The answer's head was sent to the caller.
+	runs    int   // Runs that may have begun.
+	refused int   // Sends that an upstream refused unrun.
+}
+
+func newStream(h *Handler, x *exchange.Exchange) *stream {
+	s := &stream{h: h, x: x, exclude: map[string]bool{}}
+	usualPrompt, usualAnswer := 0, 0
+	if e := x.Forward.Pool.Engine; e != nil {
+		usualPrompt, usualAnswer = e.UsualPrompt, e.UsualAnswer
+	}
+	s.prompt, s.answer = h.cfg.Dialect.size(x.R.Header, usualPrompt, usualAnswer)
+	if n, err := strconv.ParseInt(x.R.Header.Get(h.cfg.Dialect.LastEvent), 10, 64); err == nil {
+		s.asked, s.last = n, n
+	}
+	return s
+}
+
+// target is where one run goes.
+type target struct {
+	id, address string
+	path        chain.Path
+	release     func()
+}
+
+// runEnd is how one run ended.
+type runEnd struct {
+	notRun bool   // The upstream did not begin to run it.
+	status int    // Status of an answer that is no stream.
+	ours   bool   // The answer was passed on, or the caller left.
+	cause  error  // Nil when the stream is whole.
+	fault  string // Address of the engine that is at fault, when told.
+}
+
+// run drives runs of the request until the caller has the whole stream.
+func (s *stream) run(ctx context.Context) error {
+	for {
+		t, err := s.choose(ctx)
+		if err != nil {
+			return s.give(err)
+		}
+		end := s.one(ctx, t)
+		t.release()
+		s.note(t, end)
+		if !end.notRun && end.cause != nil && !end.ours {
+			s.runs++
+		}
+		switch {
+		case end.cause == nil:
+			s.x.Outcome = refusal.Complete
+			return nil
+		case end.ours || ctx.Err() != nil:
+			return s.give(end.cause)
+		}
+		if err := s.again(t, end); err != nil {
+			return s.give(errors.Join(err, end.cause))
+		}
+	}
+}
+
+// again decides whether a request whose run ended early is sent once more.
+func (s *stream) again(t target, end runEnd) error {
+	route := s.x.Forward.Route
+	if end.notRun {
+		s.refused++
+		if s.refused > maxRefused {
+			return errAttempts
+		}
+	} else {
+		if !route.Events.Resumable {
+			return errNoResume
+		}
+		if s.runs >= max(1, route.Attempts) && !s.ended(t) {
+			return errAttempts
+		}
+	}
+	if !s.h.mayRepeat(s.x.Forward.Pool.Name) {
+		return errNoBudget
+	}
+	return nil
+}
+
+// ended reports whether the first upstream of a run is gone, so that its run counts
+// for no attempt.
+func (s *stream) ended(t target) bool {
+	_, live := s.h.cfg.Catalog.Upstream(t.id)
+	return !live
+}
+
+// choose finds a path, and waits a little for room.
+func (s *stream) choose(ctx context.Context) (target, error) {
+	wait := s.x.Forward.Route.Objective.Std() / waitPart
+	if s.begun || s.runs > 0 {
+		wait = resumeWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		room := s.h.cfg.Catalog.Room()
+		t, err := s.find()
+		if err == nil {
+			return t, nil
+		}
+		if errors.Is(err, chain.ErrGap) && len(s.exclude) > 0 {
+			// An engine that was avoided is better than none.
+			clear(s.exclude)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return target{}, context.Cause(ctx)
+		case <-timer.C:
+			return target{}, err
+		case <-room:
+		}
+	}
+}
+
+func (s *stream) find() (target, error) {
+	pool := s.x.Forward.Pool
+	if pool.Engine == nil {
+		u, err := s.h.cfg.Catalog.Pick(pool, s.h.cfg.DataCentre, s.exclude)
+		if err != nil {
+			return target{}, err
+		}
+		return target{id: u.ID, address: u.Address, release: s.h.cfg.Catalog.HoldOne(u.ID)}, nil
+	}
+	p, release, err := s.h.cfg.Catalog.ChoosePath(pool, chain.Request{
+		Prompt: s.prompt, Answer: s.answer, Home: s.h.cfg.DataCentre, Exclude: s.exclude,
+	})
+	if err != nil {
+		return target{}, err
+	}
+	return target{id: p.Hops[0].Engine, address: p.Hops[0].Address, path: p, release: release}, nil
+}
+
+// one sends the request to a target and passes its events on.
+func (s *stream) one(ctx context.Context, t target) runEnd {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// A run that makes no progress is ended by this timer.
+	stall := time.AfterFunc(s.firstWait(t), func() { cancel(errStalled) })
+	defer stall.Stop()
+	d := &s.h.cfg.Dialect
+	sent := send{
+		upstream: t.id, organisation: s.x.Organisation, path: t.path.Hops, left: left(s.x),
+		urgency: min(urgencies-1, max(0, s.x.Forward.Priority)),
+	}
+	if s.last > 0 {
+		sent.lastEvent = strconv.FormatInt(s.last, 10)
+	}
+	a, err := s.h.cfg.Pool.Do(ctx, t.address, call.Request{
+		Method: s.x.R.Method, Head: d.head(s.x.R, len(s.x.Body), sent), Body: s.x.Body, IDHeader: d.RequestID, ID: s.x.ID,
+		Fresh: !s.x.Forward.Route.Events.Resumable,
+	})
+	if err != nil {
+		return runEnd{notRun: errors.Is(err, call.ErrNotSent), cause: reason(ctx, err)}
+	}
+	defer a.Close()
+	if a.Status >= http.StatusMultipleChoices || a.Header.Get(d.Integrity) == "" {
+		return s.failure(ctx, a)
+	}
+	return s.relay(ctx, a, t, stall)
+}
+
+// reason returns why a run was ended, when this side ended it.
+func reason(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// firstWait returns how long a run may take to its first event.
+func (s *stream) firstWait(t target) time.Duration {
+	return firstFactor*time.Duration(t.path.FirstMs*float64(time.Millisecond)) + firstSlack
+}
+
+// gapWait returns how long a run may take from one event to the next.
+func (s *stream) gapWait(t target) time.Duration {
+	tokens := 1
+	if e := s.x.Forward.Pool.Engine; e != nil {
+		tokens = max(1, e.EventTokens)
+	}
+	return min(patience, gapFactor*time.Duration(float64(tokens)*t.path.TokenMs*float64(time.Millisecond))+gapSlack)
+}
+
+// failure takes an answer that is no stream. It is passed on where another run would
+// not be allowed.
+func (s *stream) failure(ctx context.Context, a *call.Answer) runEnd {
+	d := &s.h.cfg.Dialect
+	end := runEnd{status: a.Status, notRun: d.notRun(a.Status, a.Header), fault: a.Header.Get(d.Culprit), cause: errNotEvents}
+	route := s.x.Forward.Route
+	again := end.notRun || route.Events.Resumable && s.runs+1 < max(1, route.Attempts) && a.Status >= http.StatusInternalServerError
+	if s.begun || again {
+		return end
+	}
+	body, err := io.ReadAll(io.LimitReader(a, maxAnswer+1))
+	if err != nil || len(body) > maxAnswer || a.Header.Get(d.Integrity) == "" {
+		end.cause = errors.Join(errNotEvents, reason(ctx, err))
+		return end
+	}
+	p := &plain{h: s.h, x: s.x}
+	return runEnd{ours: true, status: a.Status, cause: p.pass(answer{status: a.Status, header: a.Header, body: body})}
+}
+
+// relay passes whole events on as they arrive.
+func (s *stream) relay(ctx context.Context, a *call.Answer, t target, stall *time.Timer) runEnd {
+	split := eventstream.After(s.last)
+	buf := make([]byte, 4<<10)
+	var out []byte
+	for {
+		n, err := a.Read(buf)
+		if n > 0 {
+			var order error
+			out, order = split.Feed(out[:0], buf[:n])
+			if len(out) > 0 {
+				stall.Reset(s.gapWait(t))
+				if werr := s.emit(a, out); werr != nil {
+					return runEnd{ours: true, cause: werr}
+				}
+				s.last = split.Last
+			}
+			if order != nil {
+				return runEnd{cause: order}
+			}
+		}
+		switch {
+		case err == nil:
+		case !errors.Is(err, io.EOF):
+			return runEnd{cause: reason(ctx, err)}
+		case split.Rest():
+			return runEnd{cause: errCutEvent}
+		case !s.begun && s.asked == 0:
+			return runEnd{cause: errCutEvent}
+		default:
+			return runEnd{}
+		}
+	}
+}
+
+// emit writes events to the caller, after the head of the first run's answer.
+func (s *stream) emit(a *call.Answer, events []byte) error {
+	if !s.begun {
+		s.begun = true
+		s.x.Account.Status = a.Status
+		s.x.Account.FirstToken = clock.FromStd(time.Since(s.x.Received))
+		copyAnswerHeader(s.x.W.Header(), a.Header)
+		s.x.W.WriteHeader(a.Status)
+	}
+	if _, err := s.x.W.Write(events); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.x.W).Flush()
+}
+
+// note keeps what a run told of the engines on its path.
+func (s *stream) note(t target, end runEnd) {
+	s.x.Account.Sends = append(s.x.Account.Sends, exchange.Send{Upstream: t.id, Result: strconv.Itoa(end.status)})
+	c := s.h.cfg.Catalog
+	if end.cause == nil {
+		c.Answered(t.id, false)
+		return
+	}
+	if end.ours {
+		return
+	}
+	s.h.cfg.Log.Decision("runEnded", s.x.ID, "upstream", t.id, "address", t.address, "hops", len(t.path.Hops), "status", end.status,
+		"notRun", end.notRun, "fault", end.fault, "cause", end.cause.Error(), "lastEvent", s.last, "run", len(s.x.Account.Sends),
+		"estimateFirstMs", t.path.FirstMs, "estimateTokenMs", t.path.TokenMs,
+		"atMs", time.Since(s.x.Received).Milliseconds(), "leftMs", int64(left(s.x)))
+	if errors.Is(end.cause, context.Canceled) || errors.Is(end.cause, context.DeadlineExceeded) {
+		return
+	}
+	s.blame(t, end)
+}
+
+// blame pauses the engine at fault, as far as the end of a run tells which that is.
+func (s *stream) blame(t target, end runEnd) {
+	c := s.h.cfg.Catalog
+	if end.fault != "" {
+		if id, ok := c.ByAddress(end.fault); ok {
+			s.exclude[id] = true
+			c.Busy(id, busyPause)
+			return
+		}
+	}
+	switch {
+	case errors.Is(end.cause, errStalled):
+		for _, h := range t.path.Hops {
+			s.exclude[h.Engine] = true
+		}
+		if s.h.cfg.Stalled != nil {
+			s.h.cfg.Stalled(t.id, t.address)
+		}
+	case end.notRun && end.status != 0:
+		s.exclude[t.id] = true
+		c.Busy(t.id, busyPause)
+	case end.status != 0:
+		c.Answered(t.id, true)
+		s.exclude[t.id] = true
+	default:
+		s.exclude[t.id] = true
+		c.Unreachable(t.id)
+	}
+}
+
+// give ends a request whose stream is not whole.
+func (s *stream) give(cause error) error {
+	switch {
+	case s.x.Account.Status != 0 || s.runs > 0:
+		s.x.Outcome = refusal.Unknown
+		if errors.Is(cause, context.DeadlineExceeded) {
+			return refusal.New(refusal.DeadlinePassed, http.StatusGatewayTimeout, "the answer was not whole in time").WithOutcome(refusal.Unknown).WithCause(cause)
+		}
+		return refusal.New(refusal.UpstreamFailed, http.StatusBadGateway, "the answer could not be completed").WithOutcome(refusal.Unknown).WithCause(cause)
+	case errors.Is(cause, chain.ErrFull):
+		return refusal.New(refusal.Overloaded, http.StatusServiceUnavailable, "every path is full").WithRetryAfter(s.back()).WithCause(cause)
+	}
+	return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "no path runs every layer").WithRetryAfter(s.back()).WithCause(cause)
+}
+
+// back returns when a refused caller should come back. Spans differ, so that those who
+// were refused together do not return together.
+func (s *stream) back() clock.Duration {
+	const least, spread = 500, 1500
+	return clock.Duration(least + spread*s.h.random())
+}
--- /dev/null
+++ b/internal/routing/catalog/holds.go
@@ -0,0 +1,115 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// holdsLife is how long another VM's word on what its requests hold counts.
+const holdsLife = 3 * clock.Second
+
+// hold is what requests hold on one upstream.
+type hold struct {
+	requests int
+	tokens   int // Tokens times layers.
+}
+
+// vmHolds is the newest word of one VM.
+type vmHolds struct {
+	boot, sequence uint64
+	at             clock.Time
+	byID           map[string]hold
+}
+
+// Hold counts a request on the engines of its path, until the returned function is
+// called.
+func (c *Catalog) Hold(p chain.Path) (release func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range p.Hops {
+		c.take(h.Engine, 1, p.Tokens*(h.To-h.From))
+	}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, h := range p.Hops {
+			c.take(h.Engine, -1, -p.Tokens*(h.To-h.From))
+		}
+		close(c.room)
+		c.room = make(chan struct{})
+	}
+}
+
+// HoldOne counts a call on one upstream, until the returned function is called.
+func (c *Catalog) HoldOne(id string) (release func()) {
+	return c.Hold(chain.Path{Hops: []chain.Hop{{Engine: id}}})
+}
+
+func (c *Catalog) take(id string, requests, tokens int) {
+	h := c.own[id]
+	if h == nil {
+		h = &hold{}
+		c.own[id] = h
+	}
+	h.requests += requests
+	h.tokens += tokens
+	if h.requests == 0 {
+		delete(c.own, id)
+	}
+}
+
+// Room returns a channel that is closed when a request of this VM ends.
+func (c *Catalog) Room() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.room
+}
+
+// Occupancy returns what this VM's requests hold, for other VMs.
+func (c *Catalog) Occupancy() *fleetpb.Occupancy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := &fleetpb.Occupancy{Holds: make([]*fleetpb.Hold, 0, len(c.own))}
+	for id, h := range c.own {
+		o.Holds = append(o.Holds, &fleetpb.Hold{Upstream: id, Requests: uint32(h.requests), Tokens: uint64(max(0, h.tokens))})
+	}
+	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return o
+}
+
+// TakeOccupancy takes another VM's word on what its requests hold.
+func (c *Catalog) TakeOccupancy(vm string, o *fleetpb.Occupancy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.others[vm]
+	if was != nil && (o.Boot < was.boot || o.Boot == was.boot && o.Sequence <= was.sequence) {
+		return
+	}
+	next := &vmHolds{boot: o.Boot, sequence: o.Sequence, at: c.clock.Now(), byID: make(map[string]hold, len(o.Holds))}
+	for _, h := range o.Holds {
+		next.byID[h.Upstream] = hold{requests: int(h.Requests), tokens: int(h.Tokens)}
+	}
+	c.others[vm] = next
+}
+
+// held sums up what all VMs' requests hold on an upstream, as far as is known.
+func (c *Catalog) held(id string, now clock.Time) hold {
+	var sum hold
+	if h := c.own[id]; h != nil {
+		sum = *h
+	}
+	for vm, v := range c.others {
+		if now.Sub(v.at) > holdsLife {
+			delete(c.others, vm)
+			continue
+		}
+		h := v.byID[id]
+		sum.requests += h.requests
+		sum.tokens += h.tokens
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/routing/chain/chain_test.go
@@ -0,0 +1,95 @@
+package chain_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
+)
+
+var model = chain.Model{
+	Layers: 80, Slots: 192, StepMs: 0.85, PerRequestMs: 0.004, ContextMsPerK: 0.005, ReadPerMs: 196, CrossMsPerToken: 0.026, HopMs: 0.1,
+}
+
+func engine(id, centre string, from, to int) chain.Engine {
+	return chain.Engine{ID: id, Address: id + ":1", DataCentre: centre, From: from, To: to, StepFactor: 10, ReadFactor: 8, Room: float64((to - from) * 100_000)}
+}
+
+var usual = chain.Request{Prompt: 770, Answer: 172, Home: "a"}
+
+func TestPathStaysInOneDataCentreWhileThatHoldsAllLayers(t *testing.T) {
+	p, err := chain.Choose(model, []chain.Engine{
+		engine("a1", "a", 0, 40), engine("a2", "a", 40, 80), engine("b1", "b", 0, 40), engine("b2", "b", 40, 80),
+	}, usual)
+	assert.NilError(t, err)
+	assert.Assert(t, p.Whole(80))
+	assert.Equal(t, p.Hops[0].Engine[0], p.Hops[1].Engine[0])
+}
+
+func TestLoadMovesRequestsToAnotherPath(t *testing.T) {
+	engines := []chain.Engine{engine("a1", "a", 0, 80), engine("b1", "b", 0, 80)}
+	used := map[string]int{}
+	for range 40 {
+		p, err := chain.Choose(model, engines, usual)
+		assert.NilError(t, err)
+		for i := range engines {
+			if engines[i].ID == p.Hops[0].Engine {
+				engines[i].Requests++
+				engines[i].Held += float64(p.Tokens * 80)
+				used[engines[i].ID]++
+			}
+		}
+	}
+	assert.Assert(t, used["a1"] > 10 && used["b1"] > 10, "%v", used)
+}
+
+func TestRefusesBeforeMemoryRunsOut(t *testing.T) {
+	e := engine("a1", "a", 0, 80)
+	e.Held = e.Room
+	_, err := chain.Choose(model, []chain.Engine{e}, usual)
+	assert.Equal(t, err, chain.ErrFull)
+	_, err = chain.Choose(model, []chain.Engine{engine("a1", "a", 0, 79)}, usual)
+	assert.Equal(t, err, chain.ErrGap)
+}
+
+// TestEveryPathRunsEachLayerOnce chooses among random ranges.
+func TestEveryPathRunsEachLayerOnce(t *testing.T) {
+	for seed := range uint64(2000) {
+		src := rng.New(seed)
+		var engines []chain.Engine
+		for i := range 3 + src.IntN(20) {
+			from := src.IntN(80)
+			engines = append(engines, engine(fmt.Sprint("e", i), fmt.Sprint(src.IntN(3)), from, from+1+src.IntN(80-from)))
+		}
+		p, err := chain.Choose(model, engines, usual)
+		covered := 0
+		for covered < 80 {
+			next := covered
+			for _, e := range engines {
+				if e.From <= covered {
+					next = max(next, e.To)
+				}
+			}
+			if next == covered {
+				break
+			}
+			covered = next
+		}
+		assert.Equal(t, err == nil, covered == 80, "seed %d: %v", seed, err)
+		assert.Assert(t, err != nil || p.Whole(80), "seed %d: %v", seed, p)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	var engines []chain.Engine
+	for i := range 39 {
+		at := (i % 13) * 6
+		engines = append(engines, engine(fmt.Sprint("e", i), fmt.Sprint(i/13), at, min(80, at+8)))
+	}
+	for b.Loop() {
+		_, _ = chain.Choose(model, engines, usual)
+	}
+}
--- /dev/null
+++ b/internal/routing/layers/layers_test.go
@@ -0,0 +1,128 @@
+package layers_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/routing/layers"
+)
+
+var model = layers.Model{Layers: 80, LayerMB: 1750, TokenMB: 0.59}
+
+// fleet is three data centres of mixed cards.
+func fleet() []layers.Engine {
+	var out []layers.Engine
+	add := func(dc string, n int, kind string, mb float64) {
+		for i := range n {
+			out = append(out, layers.Engine{ID: fmt.Sprintf("%s-%s-%d", dc, kind, i), DataCentre: dc, MemoryMB: mb, Settled: true})
+		}
+	}
+	add("e", 2, "mid", 36000)
+	add("e", 4, "small", 21600)
+	add("e", 7, "tiny", 14400)
+	add("h", 1, "large", 72000)
+	add("h", 1, "mid", 36000)
+	add("h", 5, "small", 21600)
+	add("h", 7, "tiny", 14400)
+	add("s", 1, "mid", 36000)
+	add("s", 8, "small", 21600)
+	add("s", 3, "tiny", 14400)
+	return out
+}
+
+// carry applies orders.
+func carry(t *testing.T, engines []layers.Engine, orders []layers.Order) {
+	t.Helper()
+	for _, o := range orders {
+		for i := range engines {
+			if engines[i].ID != o.Engine {
+				continue
+			}
+			assert.Assert(t, float64(o.To-o.From)*model.LayerMB <= engines[i].MemoryMB, "%v does not fit", o)
+			engines[i].From, engines[i].To = o.From, o.To
+		}
+	}
+}
+
+// whole reports whether the engines of a data centre hold every layer.
+func whole(engines []layers.Engine, dc string) bool {
+	var held [80]bool
+	for _, e := range engines {
+		for l := e.From; l < e.To && e.DataCentre == dc; l++ {
+			held[l] = true
+		}
+	}
+	for _, h := range held {
+		if !h {
+			return false
+		}
+	}
+	return true
+}
+
+func TestEachDataCentreGetsACopyWithRoom(t *testing.T) {
+	engines := fleet()
+	carry(t, engines, layers.Plan(model, engines))
+	for _, dc := range []string{"e", "h", "s"} {
+		assert.Assert(t, whole(engines, dc), dc)
+	}
+	for _, e := range engines {
+		assert.Assert(t, model.Capacity(e.MemoryMB, e.To-e.From) > 100_000, "%+v", e)
+	}
+	assert.Equal(t, len(layers.Plan(model, engines)), 0, "a plan that is carried out stays")
+}
+
+// TestGapIsClosedByNeighbours loses each engine in turn.
+func TestGapIsClosedByNeighbours(t *testing.T) {
+	for lost := range fleet() {
+		engines := fleet()
+		carry(t, engines, layers.Plan(model, engines))
+		dc := engines[lost].DataCentre
+		engines = append(engines[:lost], engines[lost+1:]...)
+		orders := layers.Plan(model, engines)
+		assert.Assert(t, len(orders) > 0)
+		carry(t, engines, orders)
+		assert.Assert(t, whole(engines, dc), "engine %d lost", lost)
+	}
+}
+
+func TestNewEngineAddsRoom(t *testing.T) {
+	engines := fleet()
+	carry(t, engines, layers.Plan(model, engines))
+	engines = append(engines, layers.Engine{ID: "new", DataCentre: "e", MemoryMB: 21600, Settled: true})
+	orders := layers.Plan(model, engines)
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Engine, "new")
+}
+
+// TestRandomLossesNeverOverfill loses, adds and restarts engines for a while; carry
+// checks that no order exceeds an engine's memory.
+func TestRandomLossesNeverOverfill(t *testing.T) {
+	for seed := range uint64(60) {
+		src := rng.New(seed)
+		engines := fleet()
+		for turn := range 60 {
+			i := src.IntN(len(engines))
+			switch src.IntN(4) {
+			case 0:
+				engines = append(engines[:i], engines[i+1:]...)
+			case 1:
+				engines[i].From, engines[i].To = 0, 0
+			case 2:
+				engines = append(engines, layers.Engine{ID: fmt.Sprint("new", turn), DataCentre: "e", MemoryMB: 14400, Settled: true})
+			default:
+				engines[i].Settled = !engines[i].Settled
+			}
+			orders := layers.Plan(model, engines)
+			for _, o := range orders {
+				for _, e := range engines {
+					assert.Assert(t, e.ID != o.Engine || e.Settled, "seed %d: unsettled %v", seed, o)
+				}
+			}
+			carry(t, engines, orders)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/lookup/lookup.go
@@ -0,0 +1,102 @@
+// Package lookup finds the route and the organisation of a forwarded request in the
+// tables in force. An Index is made once for each revision and never changes.
+package lookup
+
+import (
+	"net"
+	"strings"
+
+	"github.com/jasminecove/jasminecove/internal/control/tables"
+)
+
+// Index answers lookups in one revision of the tables.
+type Index struct {
+	Number uint64 // The revision.
+	doc    *tables.Document
+	routes map[place]*tables.Route
+	pools  map[string]*tables.Pool
+	keys   map[string]*tables.Organisation
+}
+
+// place is where a route is.
+type place struct {
+	host   string
+	prefix string
+}
+
+// New returns the index of a document, which must not change afterwards.
+func New(number uint64, doc *tables.Document) *Index {
+	x := &Index{
+		Number: number, doc: doc, routes: make(map[place]*tables.Route, len(doc.Routes)),
+		pools: map[string]*tables.Pool{}, keys: map[string]*tables.Organisation{},
+	}
+	for i := range doc.Routes {
+		r := &doc.Routes[i]
+		if r.IsForwarded() {
+			x.routes[place{strings.ToLower(r.Match.Host), r.Match.PathPrefix}] = r
+		}
+	}
+	for i := range doc.Pools {
+		x.pools[doc.Pools[i].Name] = &doc.Pools[i]
+	}
+	for i := range doc.Organisations {
+		for _, k := range doc.Organisations[i].Keys {
+			x.keys[k] = &doc.Organisations[i]
+		}
+	}
+	return x
+}
+
+// Document returns the tables.
+func (x *Index) Document() *tables.Document { return x.doc }
+
+// Route returns the route of the host with the longest prefix that begins the path.
+// Prefixes end with a slash.
+func (x *Index) Route(host, path string) (*tables.Route, bool) {
+	host = strings.ToLower(host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for end := len(path); end > 0; {
+		at := strings.LastIndexByte(path[:end], '/')
+		if at < 0 {
+			break
+		}
+		if r, ok := x.routes[place{host, path[:at+1]}]; ok {
+			return r, true
+		}
+		end = at
+	}
+	return nil, false
+}
+
+// Pool returns the pool of a name.
+func (x *Index) Pool(name string) (*tables.Pool, bool) {
+	p, ok := x.pools[name]
+	return p, ok
+}
+
+// HasOrganisations reports whether requests need a key at all.
+func (x *Index) HasOrganisations() bool { return len(x.doc.Organisations) > 0 }
+
+// Organisation returns the owner of a key.
+func (x *Index) Organisation(key string) (*tables.Organisation, bool) {
+	o, ok := x.keys[key]
+	return o, ok
+}
+
+// Split picks one of a route's pools by weight. at is a number from 0 to below 1.
+func Split(r *tables.Route, at float64) string {
+	shares := r.Shares()
+	total := 0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	left := at * float64(total)
+	for _, s := range shares {
+		if left -= float64(s.Weight); left < 0 {
+			return s.Pool
+		}
+	}
+	return shares[len(shares)-1].Pool
+}
--- /dev/null
+++ b/internal/routing/lookup/lookup_test.go
@@ -0,0 +1,51 @@
+package lookup_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/routing/lookup"
+)
+
+func doc() *tables.Document {
+	route := func(name, host, prefix string) tables.Route {
+		return tables.Route{Name: name, Match: tables.Match{Host: host, PathPrefix: prefix}, Pool: "desk", Deadline: 1000}
+	}
+	return &tables.Document{
+		Routes:        []tables.Route{route("root", "a.example", "/"), route("one", "a.example", "/x/"), route("two", "a.example", "/x/y/"), route("other", "b.example", "/x/")},
+		Pools:         []tables.Pool{{Name: "desk", Service: "desk"}},
+		Organisations: []tables.Organisation{{Name: "north", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	x := lookup.New(1, doc())
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "two"}, {"A.example:80", "/x/y/", "two"}, {"a.example", "/x/yz", "one"},
+		{"a.example", "/x", "root"}, {"b.example", "/x/y/z", "other"}, {"b.example", "/y/", ""}, {"c.example", "/x/", ""},
+	} {
+		r, ok := x.Route(c.host, c.path)
+		assert.Equal(t, ok, c.want != "", "%s%s", c.host, c.path)
+		if ok {
+			assert.Equal(t, r.Name, c.want)
+		}
+	}
+}
+
+func TestKeyNamesItsOrganisation(t *testing.T) {
+	x := lookup.New(1, doc())
+	o, ok := x.Organisation("k2")
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Name, "north")
+	_, ok = x.Organisation("")
+	assert.Assert(t, !ok)
+}
+
+func ExampleSplit() {
+	r := &tables.Route{Split: []tables.Share{{Pool: "old", Weight: 90}, {Pool: "new", Weight: 10}}}
+	fmt.Println(lookup.Split(r, 0.1), lookup.Split(r, 0.95))
+	// Output: old new
+}
--- /dev/null
+++ b/internal/upstream/call/call_test.go
@@ -0,0 +1,176 @@
+package call_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
+)
+
+// upstream answers each connection by a script: for each request that it reads it
+// writes the next bytes.
+func upstream(t *testing.T, serve func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				serve(c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readHead(c net.Conn) {
+	buf := make([]byte, 4096)
+	_, _ = c.Read(buf)
+}
+
+func request(id string) call.Request {
+	return call.Request{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), IDHeader: "Request-Id", ID: id}
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func TestLateAnswerToAnEarlierRequestIsSkipped(t *testing.T) {
+	address := upstream(t, func(c net.Conn) {
+		readHead(c)
+		_, _ = io.WriteString(c, whole("old", "other")+whole("new", "mine"))
+		time.Sleep(time.Second)
+	})
+	a, err := call.NewPool().Do(t.Context(), address, request("new"))
+	assert.NilError(t, err)
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "mine")
+}
+
+// TestBytesAfterAnAnswerEndTheConnection answers twice. The next request gets a
+// connection of its own.
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	connections := make(chan struct{}, 10)
+	address := upstream(t, func(c net.Conn) {
+		connections <- struct{}{}
+		readHead(c)
+		_, _ = io.WriteString(c, whole("1", "one"))
+		time.Sleep(30 * time.Millisecond)
+		_, _ = io.WriteString(c, whole("1", "two"))
+		time.Sleep(time.Second)
+	})
+	pool := call.NewPool()
+	for range 2 {
+		a, err := pool.Do(t.Context(), address, request("1"))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(a)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "one")
+		a.Close()
+		time.Sleep(60 * time.Millisecond)
+	}
+	assert.Equal(t, len(connections), 2)
+}
+
+func TestResetAnswerIsNotWhole(t *testing.T) {
+	for _, head := range []string{"Content-Length: 50\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		address := upstream(t, func(c net.Conn) {
+			readHead(c)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"+head+"\r\n3\r\nabc\r\n")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		a, err := call.NewPool().Do(t.Context(), address, request("1"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(a)
+		assert.Assert(t, err != nil, "head %q", head)
+		a.Close()
+	}
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, err = call.NewPool().Do(t.Context(), address, request("1"))
+	assert.Assert(t, errors.Is(err, call.ErrNotSent), "%v", err)
+}
+
+func TestSilenceAfterTheRequestIsUnknown(t *testing.T) {
+	address := upstream(t, func(c net.Conn) {
+		readHead(c)
+		time.Sleep(time.Second)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := call.NewPool().Do(ctx, address, request("1"))
+	assert.Assert(t, errors.Is(err, call.ErrNoAnswer), "%v", err)
+}
+
+// TestEarlyAnswerEndsTheConnection answers before a long body was read. The
+// connection must not carry another request, whose bytes the upstream would take for
+// the rest of that body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	connections := make(chan struct{}, 10)
+	address := upstream(t, func(c net.Conn) {
+		connections <- struct{}{}
+		readHead(c)
+		_, _ = io.WriteString(c, whole("1", "no"))
+		time.Sleep(200 * time.Millisecond)
+	})
+	pool := call.NewPool()
+	long := request("1")
+	long.Body = []byte(strings.Repeat("x", 16<<20))
+	for range 2 {
+		a, err := pool.Do(t.Context(), address, long)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(a)
+		assert.NilError(t, err)
+		a.Close()
+	}
+	assert.Equal(t, len(connections), 2)
+}
+
+func TestKeptConnectionIsUsedAgain(t *testing.T) {
+	connections := make(chan struct{}, 10)
+	address := upstream(t, func(c net.Conn) {
+		connections <- struct{}{}
+		for range 3 {
+			readHead(c)
+			_, _ = io.WriteString(c, whole("1", "one"))
+		}
+	})
+	pool := call.NewPool()
+	for range 3 {
+		a, err := pool.Do(t.Context(), address, request("1"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(a)
+		assert.NilError(t, err)
+		a.Close()
+	}
+	assert.Equal(t, len(connections), 1)
+	fresh := request("1")
+	fresh.Fresh = true
+	a, err := pool.Do(t.Context(), address, fresh)
+	assert.NilError(t, err)
+	a.Close()
+	assert.Equal(t, len(connections), 2)
+}
