Let a new leader know the engines before it moves layers

Paths broke everywhere and the repeats were used up. Ruled out: load (a ladder of 0.5 to 18 requests a second and zone shows 11 to 20 ms a token, as the estimate says) and memory.

Change: the placer judges only after 3.5 s of its process and waits 0.8 s for a lost engine; a VM that starts asks two others for all upstreams before it is ready; leases go on for as long as a VM stood still; a third of the repeats is free at the start; a stopping VM closes its listener once the balancer has looked away.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -141,6 +141,16 @@
 	return next
 }
 
+// Extend lengthens the leases that are kept here by a span in which this VM could not
+// hear renewals.
+func (r *Registry) Extend(span clock.Duration) {
+	for _, u := range r.upstreams {
+		if u.expires != 0 && !u.gone {
+			u.expires = u.expires.Add(span)
+		}
+	}
+}
+
 // Expire ends the leases that have run out. It returns digests that tell other
 // VMs of upstreams whose home is here.
 func (r *Registry) Expire(now clock.Time) []*fleetpb.Digest {
--- a/internal/node/controlplane/calls.go
+++ b/internal/node/controlplane/calls.go
@@ -37,7 +37,13 @@
 	case *fleetpb.Call_Demand:
 		return &fleetpb.Reply{Demand: p.demand.told(vm, b.Demand)}
 	case *fleetpb.Call_Upstreams:
-		return &fleetpb.Reply{Digests: p.cfg.Directory.DigestsOf(b.Upstreams.Homes)}
+		homes := b.Upstreams.Homes
+		if b.Upstreams.All {
+			for _, h := range p.cfg.Directory.HomeHashes() {
+				homes = append(homes, h.Vm)
+			}
+		}
+		return &fleetpb.Reply{Digests: p.cfg.Directory.DigestsOf(homes)}
 	case *fleetpb.Call_Explain:
 		return &fleetpb.Reply{Account: p.cfg.Explain(b.Explain.RequestId)}
 	case *fleetpb.Call_Read:
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/routing/directory"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
@@ -28,6 +29,13 @@
 // stampTermShift leaves room for a term's stamps below the next term's.
 const stampTermShift = 40
 
+// A VM that starts asks as many others as introducers for upstreams, and is not ready
+// before that, or before introduceWithin has passed.
+const (
+	introducers     = 2
+	introduceWithin = 2 * time.Second
+)
+
 // startGossip begins the VM's view of the fleet.
 func (p *Plane) startGossip(address string) {
 	s := p.cfg.Settings
@@ -166,6 +174,30 @@
 	go p.askUpstreams(vm, homes)
 }
 
+// learnUpstreams asks the first VMs that are met for all upstreams that they know, so
+// that a VM that has just started does not wait for announcements.
+func (p *Plane) learnUpstreams(ctx context.Context) {
+	defer p.introduced.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, introduceWithin)
+	defer cancel()
+	asked := map[string]bool{p.cfg.Settings.VM: true}
+	for ctx.Err() == nil && len(asked) <= introducers {
+		for _, vm := range p.liveVMs() {
+			if asked[vm] || len(asked) > introducers {
+				continue
+			}
+			asked[vm] = true
+			reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Upstreams{Upstreams: &fleetpb.Upstreams{All: true}}})
+			if err != nil {
+				p.log.Debug("upstreams not told", "vm", vm, "error", err)
+				continue
+			}
+			p.cfg.Directory.TakeDigests(reply.Digests)
+		}
+		_ = delay.Wait(ctx, fetchPause)
+	}
+}
+
 func (p *Plane) askUpstreams(vm string, homes []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -106,12 +106,14 @@
 	wake      chan struct{}
 	promised  atomic.Value // Name of the VM that this one forms a new group with, a string.
 	confirmed atomic.Bool  // The quorum has told the present once.
-	stampedAt atomic.Int64 // clock.Time of the newest stamp.
-	movedAt   atomic.Int64 // clock.Time at which a VM was last met.
-	drained   sync.Once
-	tasks     sync.WaitGroup
-	cancel    context.CancelFunc
-	failed    chan error
+	// introduced is set once other VMs have told the upstreams that they know.
+	introduced atomic.Bool
+	stampedAt  atomic.Int64 // clock.Time of the newest stamp.
+	movedAt    atomic.Int64 // clock.Time at which a VM was last met.
+	drained    sync.Once
+	tasks      sync.WaitGroup
+	cancel     context.CancelFunc
+	failed     chan error
 }
 
 // want is a revision that another VM has in force.
@@ -261,7 +263,7 @@
 
 // Ready returns why the VM may not take requests, or nil.
 func (p *Plane) Ready() error {
-	if !p.confirmed.Load() {
+	if !p.confirmed.Load() || p.transport != nil && !p.introduced.Load() {
 		return ErrNotYet
 	}
 	if limit := p.cfg.Settings.Fleet.ReadyMaxAge; limit > 0 && p.Age() > limit {
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -47,6 +47,7 @@
 // fetchLoop first learns the present from the quorum, and then fetches newer
 // revisions from the VMs that have them.
 func (p *Plane) fetchLoop(ctx context.Context) {
+	p.task(func() { p.learnUpstreams(ctx) })
 	for ctx.Err() == nil && !p.learnPresent(ctx) {
 		_ = delay.Wait(ctx, fetchPause)
 	}
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -34,6 +34,12 @@
 	lookEvery = 100 * time.Millisecond
 	// settle is how long the set of engines must stay the same before a first plan.
 	settle = 1500 * clock.Millisecond
+	// viewSettle is how long the process must have run before it judges by its view
+	// of engines that one is lost: more than two spans between announcements.
+	viewSettle = 3500 * clock.Millisecond
+	// gapPatience is how long an engine that was lost has to come back before others
+	// take its layers.
+	gapPatience = 800 * clock.Millisecond
 	// settleLimit bounds that wait.
 	settleLimit = 4 * clock.Second
 	// leaseMargin is the lease that must be left when an order is sent.
@@ -88,6 +94,8 @@
 	seen    int                     // Engines at the last look.
 	changed clock.Time              // When seen changed.
 	first   clock.Time              // When an engine was first seen.
+	began   clock.Time
+	wanted  clock.Time // Since when a plan differs from what engines hold.
 }
 
 // engineState is what the controller knows of one process of an engine.
@@ -101,6 +109,7 @@
 
 // Run places layers until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
+	c.began = c.Clock.Now()
 	for delay.Wait(ctx, lookEvery) == nil {
 		term, leaseLeft := c.Lease.OrderLease()
 		if leaseLeft <= leaseMargin {
@@ -108,7 +117,7 @@
 		}
 		if term != c.term {
 			// Another VM may have given orders since.
-			c.term, c.known, c.seen, c.first = term, map[string]*engineState{}, 0, 0
+			c.term, c.known, c.seen, c.first, c.wanted = term, map[string]*engineState{}, 0, 0, 0
 		}
 		index := c.Catalog.Tables()
 		if index == nil {
@@ -139,12 +148,24 @@
 		c.underWay(now, u, &e)
 		engines = append(engines, e)
 	}
-	if !c.stable(now, len(engines)) && !held || len(engines) == 0 {
+	stable := c.stable(now, len(engines))
+	if len(engines) == 0 || now.Sub(c.began) < viewSettle || !held && !stable {
 		return
 	}
 	m := layers.Model{Layers: p.Engine.Layers, LayerMB: p.Engine.LayerMB, TokenMB: p.Engine.CacheBytes / 1e6}
+	orders := layers.Plan(m, engines)
+	if len(orders) == 0 {
+		c.wanted = 0
+		return
+	}
+	if c.wanted == 0 {
+		c.wanted = now
+	}
+	if held && now.Sub(c.wanted) < gapPatience {
+		return
+	}
 	var sends sync.WaitGroup
-	for _, o := range layers.Plan(m, engines) {
+	for _, o := range orders {
 		u := upstreams[o.Engine]
 		st := c.state(u)
 		share := clock.Duration(float64(p.Engine.LoadTime) * float64(o.To-o.From) / float64(p.Engine.Layers))
--- a/internal/node/router/stop.go
+++ b/internal/node/router/stop.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/delay"
 )
 
-// drainLook is the span between two looks at the requests in flight.
-const drainLook = 20 * time.Millisecond
-
 // Drain stops gracefully: the VM turns unready and hands its lead over, keeps accepting
 // until the balancer has noticed, finishes what is in flight, and stops. It returns
 // the number of requests that were cut at the limit.
@@ -21,13 +17,9 @@
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Settings.Drain.Limit.Std())
 	defer cancel()
 	_ = delay.Wait(ctx, r.cfg.Settings.Drain.Notice.Std())
-	for r.handler.InFlight() > 0 && ctx.Err() == nil {
-		_ = delay.Wait(ctx, drainLook)
-	}
-	if ctx.Err() == nil {
-		// Closes idle connections and waits for requests that came meanwhile.
-		_ = r.callers.Shutdown(ctx)
-	}
+	// New requests go elsewhere by now. This closes the listener and idle connections,
+	// and waits for requests in flight.
+	_ = r.callers.Shutdown(ctx)
 	cut := r.handler.InFlight()
 	r.log.Decision("drained", r.cfg.Settings.VM, "cut", cut, "tookMs", int64(r.clock.Now().Sub(began)))
 	r.Stop()
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -69,6 +69,18 @@
 	Sends        []Send          `json:"sends,omitempty"`
 	Claim        string          `json:"claim,omitempty"`
 	Session      *driver.Report  `json:"session,omitempty"`
+	// Events is how many events of a stream were passed on, and Path the estimate of
+	// its newest run.
+	Events int64 `json:"events,omitempty"`
+	Path   Path  `json:"path,omitzero"`
+}
+
+// Path is what was expected of a path of engines when it was chosen.
+type Path struct {
+	First   string  `json:"first"` // First engine.
+	Hops    int     `json:"hops"`
+	FirstMs float64 `json:"firstMs"`
+	TokenMs float64 `json:"tokenMs"`
 }
 
 // Send is one attempt at a service.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -116,7 +116,8 @@
 	h.meters.ended(x, took, err)
 	if err == nil {
 		h.cfg.Log.Decision("answered", x.ID, "route", a.Route, "pool", a.Pool, "organisation", x.Organisation,
-			"status", a.Status, "outcome", x.Outcome, "firstMs", int64(a.FirstToken), "tookMs", took.Milliseconds(), "sends", len(a.Sends))
+			"status", a.Status, "outcome", x.Outcome, "firstMs", int64(a.FirstToken), "tookMs", took.Milliseconds(), "sends", len(a.Sends),
+			"events", a.Events, "upstream", a.Path.First, "hops", a.Path.Hops, "estimateFirstMs", a.Path.FirstMs, "estimateTokenMs", a.Path.TokenMs)
 		return
 	}
 	h.cfg.Log.Decision("failed", x.ID, "route", a.Route, "pool", a.Pool, "organisation", x.Organisation,
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -87,7 +87,9 @@
 		if err != nil {
 			return s.give(err)
 		}
+		s.x.Account.Path = exchange.Path{First: t.id, Hops: len(t.path.Hops), FirstMs: t.path.FirstMs, TokenMs: t.path.TokenMs}
 		end := s.one(ctx, t)
+		s.x.Account.Events = s.last - s.asked
 		t.release()
 		s.note(t, end)
 		if !end.notRun && end.cause != nil && !end.ours {
--- a/internal/request/retryshare/retryshare.go
+++ b/internal/request/retryshare/retryshare.go
@@ -28,11 +28,14 @@
 	repeats [buckets]float64
 }
 
-// New returns a Share whose window holds no requests. A process that has just started
-// does not know what it sent before, so that the allowance counts as used.
+// usedAtStart is the part of the allowance that counts as used when a process starts,
+// because it does not know what it sent before.
+const usedAtStart = 2.0 / 3
+
+// New returns a Share whose window holds no requests.
 func New(limits Limits, now clock.Time, vms int) *Share {
 	s := &Share{limits: limits, since: now}
-	s.repeats[0] = s.allowance(vms)
+	s.repeats[0] = usedAtStart * s.allowance(vms)
 	return s
 }
 
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -42,6 +42,7 @@
 	others   map[string]*vmHolds
 	views    map[string]*poolView // By pool.
 	room     chan struct{}        // Closed when a request gave back what it held.
+	ticked   clock.Time
 }
 
 // New returns the catalog of a VM. maxLease is the longest that an upstream may be
@@ -138,10 +139,19 @@
 	return news
 }
 
-// Tick ends leases that have run out.
+// stoodStill is a span between two ticks from which on this VM itself was stopped.
+const stoodStill = 800 * clock.Millisecond
+
+// Tick ends leases that have run out. A VM that stood still did not hear renewals, so
+// that leases go on for as long.
 func (c *Catalog) Tick() {
 	c.mu.Lock()
-	ended := c.registry.Expire(c.clock.Now())
+	now := c.clock.Now()
+	if gap := now.Sub(c.ticked); c.ticked != 0 && gap > stoodStill {
+		c.registry.Extend(gap)
+	}
+	c.ticked = now
+	ended := c.registry.Expire(now)
 	change := Change{Digests: ended}
 	for _, d := range ended {
 		delete(c.health, d.Id)
