Find the dead engine that a stalled request waits for, and leave slow paths

Change: decode the address; a dead engine is told to all VMs, streams on it move at once; 421 and 503 pause the engine at fault; paths through engines that are slower than estimated cost more.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -39,7 +39,9 @@
 	viewSettle = 3500 * clock.Millisecond
 	// gapPatience is how long an engine that was lost has to come back before others
 	// take its layers.
-	gapPatience = 800 * clock.Millisecond
+	gapPatience = 700 * clock.Millisecond
+	// planPatience is how long a plan must stay wanted before it is carried out.
+	planPatience = 300 * clock.Millisecond
 	// settleLimit bounds that wait.
 	settleLimit = 4 * clock.Second
 	// leaseMargin is the lease that must be left when an order is sent.
@@ -65,7 +67,7 @@
 type Report struct {
 	Taken   int64 // Orders that it has taken since its start.
 	Busy    bool
-	Stalled []string // Engines that its requests wait for in vain.
+	Stalled []string // Addresses of engines that its requests wait for in vain.
 }
 
 // API reaches engines.
@@ -139,7 +141,7 @@
 	held := false
 	for _, u := range c.Catalog.Members(p.Service) {
 		k, ok := p.Engine.Kind(u.Accelerator)
-		if !ok || u.Leaving {
+		if !ok || u.Leaving || c.Catalog.DeadFor(u.Id) >= gapPatience {
 			continue
 		}
 		upstreams[u.Id] = u
@@ -161,7 +163,7 @@
 	if c.wanted == 0 {
 		c.wanted = now
 	}
-	if held && now.Sub(c.wanted) < gapPatience {
+	if held && now.Sub(c.wanted) < planPatience {
 		return
 	}
 	var sends sync.WaitGroup
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -52,9 +52,7 @@
 	reportTimeout     = 500 * time.Millisecond
 	// reportPause is the least span between two questions to one engine for whom it
 	// waits.
-	reportPause = 300 * clock.Millisecond
-	// stalledPause is for how long an engine that others wait for gets no requests.
-	stalledPause = 2 * clock.Second
+	reportPause = 150 * clock.Millisecond
 )
 
 // Config is what a Router is made of.
@@ -342,8 +340,9 @@
 	r.plane.ShareOccupancy(o)
 }
 
-// findStalled asks an engine for whom its requests wait, and pauses those.
-func (r *Router) findStalled(id, address string) {
+// findStalled asks an engine for whom its requests wait, and tells those dead. Several
+// requests that stall at one engine share one question.
+func (r *Router) findStalled(ctx context.Context, id, address string) {
 	now := r.clock.Now()
 	r.mu.Lock()
 	due := now.Sub(r.asked[id]) >= reportPause
@@ -354,20 +353,21 @@
 	if !due {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-		defer cancel()
-		report, err := r.engines.Report(ctx, id, address)
-		if err != nil {
-			r.log.Decision("upstreamSuspected", id, "reason", "no report", "error", err.Error())
-			r.catalog.Unreachable(id)
-			return
-		}
-		for _, other := range report.Stalled {
-			r.log.Decision("upstreamSuspected", other, "reason", "another engine waits for it", "reportedBy", id)
-			r.catalog.Busy(other, stalledPause)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := r.engines.Report(ctx, id, address)
+	if err != nil {
+		r.log.Decision("upstreamSuspected", id, "reason", "no report", "error", err.Error())
+		r.catalog.Dead(id, true)
+		return
+	}
+	for _, other := range report.Stalled {
+		lost, ok := r.catalog.ByAddress(other)
+		r.log.Decision("upstreamSuspected", lost, "reason", "another engine waits for it", "address", other, "reportedBy", id, "known", ok)
+		if ok {
+			r.catalog.Dead(lost, true)
 		}
-	}()
+	}
 }
 
 // Foreign counts an announcement that names no upstream to use.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -37,8 +37,8 @@
 	// Closing reports whether connections of callers should end with their answer.
 	Closing func() bool
 	// Stalled is told of an engine whose request makes no progress, so that the one at
-	// fault on its path can be found. It must not block.
-	Stalled func(engine, address string)
+	// fault on its path is found and told to the catalog.
+	Stalled func(ctx context.Context, engine, address string)
 	Log     *decision.Log
 	Metrics tally.Scope
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -23,16 +23,19 @@
 	waitPart = 8
 	// resumeWait is how long a broken stream waits for a path that has room.
 	resumeWait = 1500 * time.Millisecond
-	// firstFactor and firstSlack bound the wait for a first event by the estimate.
-	firstFactor = 6
-	firstSlack  = 900 * time.Millisecond
-	// gapFactor and gapSlack bound the pause between two events by the estimate.
-	gapFactor = 10
-	gapSlack  = 500 * time.Millisecond
-	// patience is how long callers wait for the next event at least.
-	patience = 2 * time.Second
-	// stallPause is for how long an engine that was found at fault gets no requests.
-	stallPause = 2 * clock.Second
+	// firstFactor and gapFactor times the estimate, and askSlack, is how long a run may
+	// pause before its first engine is asked whom it waits for.
+	firstFactor = 4
+	gapFactor   = 5
+	askSlack    = 250 * time.Millisecond
+	// patience is how long a run may pause before another is tried though no engine was
+	// found at fault; callers leave at two seconds.
+	patience = 1700 * time.Millisecond
+	// movedPause is for how long an engine whose layers are not those known gets no
+	// requests: until it has announced itself again. refusedPause is for one that had
+	// no room or depended on one that had none.
+	movedPause   = 1200 * clock.Millisecond
+	refusedPause = 400 * clock.Millisecond
 	// urgencies is the number of ranks that engines know.
 	urgencies = 10
 )
@@ -71,6 +74,18 @@
 	release     func()
 }
 
+// engines returns the engines that a run depends on.
+func (t target) engines() []string {
+	if len(t.path.Hops) == 0 {
+		return []string{t.id}
+	}
+	ids := make([]string, len(t.path.Hops))
+	for i, h := range t.path.Hops {
+		ids[i] = h.Engine
+	}
+	return ids
+}
+
 // runEnd is how one run ended.
 type runEnd struct {
 	notRun bool   // The upstream did not begin to run it.
@@ -188,9 +203,10 @@
 func (s *stream) one(ctx context.Context, t target) runEnd {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	// A run that makes no progress is ended by this timer.
-	stall := time.AfterFunc(s.firstWait(t), func() { cancel(errStalled) })
-	defer stall.Stop()
+	watch := s.h.cfg.Catalog.Watch(t.engines(), func(string) { cancel(errLost) })
+	defer watch.Stop()
+	stall := s.newStall(ctx, t, cancel)
+	defer stall.stop()
 	d := &s.h.cfg.Dialect
 	sent := send{
 		upstream: t.id, organisation: s.x.Organisation, path: t.path.Hops, left: left(s.x),
@@ -221,20 +237,6 @@
 	return err
 }
 
-// firstWait returns how long a run may take to its first event.
-func (s *stream) firstWait(t target) time.Duration {
-	return firstFactor*time.Duration(t.path.FirstMs*float64(time.Millisecond)) + firstSlack
-}
-
-// gapWait returns how long a run may take from one event to the next.
-func (s *stream) gapWait(t target) time.Duration {
-	tokens := 1
-	if e := s.x.Forward.Pool.Engine; e != nil {
-		tokens = max(1, e.EventTokens)
-	}
-	return min(patience, gapFactor*time.Duration(float64(tokens)*t.path.TokenMs*float64(time.Millisecond))+gapSlack)
-}
-
 // failure takes an answer that is no stream. It is passed on where another run would
 // not be allowed.
 func (s *stream) failure(ctx context.Context, a *call.Answer) runEnd {
@@ -255,7 +257,7 @@
 }
 
 // relay passes whole events on as they arrive.
-func (s *stream) relay(ctx context.Context, a *call.Answer, t target, stall *time.Timer) runEnd {
+func (s *stream) relay(ctx context.Context, a *call.Answer, t target, stall *stall) runEnd {
 	split := eventstream.After(s.last)
 	buf := make([]byte, 4<<10)
 	var out []byte
@@ -265,7 +267,7 @@
 			var order error
 			out, order = split.Feed(out[:0], buf[:n])
 			if len(out) > 0 {
-				stall.Reset(s.gapWait(t))
+				stall.progress(split.Last - s.last)
 				if werr := s.emit(a, out); werr != nil {
 					return runEnd{ours: true, cause: werr}
 				}
@@ -331,7 +333,11 @@
 	if end.fault != "" {
 		if id, ok := c.ByAddress(end.fault); ok {
 			s.exclude[id] = true
-			c.Busy(id, busyPause)
+			pause := refusedPause
+			if end.status == http.StatusMisdirectedRequest {
+				pause = movedPause
+			}
+			c.Busy(id, pause)
 			return
 		}
 	}
@@ -340,9 +346,8 @@
 		for _, h := range t.path.Hops {
 			s.exclude[h.Engine] = true
 		}
-		if s.h.cfg.Stalled != nil {
-			s.h.cfg.Stalled(t.id, t.address)
-		}
+	case errors.Is(end.cause, errLost):
+		// The catalog knows which one it was.
 	case end.notRun && end.status != 0:
 		s.exclude[t.id] = true
 		c.Busy(t.id, busyPause)
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -43,6 +43,7 @@
 	views    map[string]*poolView // By pool.
 	room     chan struct{}        // Closed when a request gave back what it held.
 	ticked   clock.Time
+	watchers map[string]map[watchEntry]struct{} // By upstream.
 }
 
 // New returns the catalog of a VM. maxLease is the longest that an upstream may be
@@ -53,6 +54,7 @@
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, own: map[string]*hold{}, others: map[string]*vmHolds{},
 		views: map[string]*poolView{}, room: make(chan struct{}),
+		watchers: map[string]map[watchEntry]struct{}{},
 	}
 }
 
@@ -84,6 +86,8 @@
 	}
 	is, live := c.registry.Get(a.Id)
 	c.compare(was, known, is, live, &change)
+	// It spoke after it was found dead.
+	c.alive(a.Id)
 	c.mu.Unlock()
 	c.tell(change)
 }
@@ -112,6 +116,10 @@
 	case was.StartedMs != is.StartedMs:
 		// What was learnt of its past says nothing of the new process.
 		delete(c.health, is.Id)
+		for w := range c.watchers[is.Id] {
+			w.fire()
+		}
+		delete(c.watchers, is.Id)
 		change.Ended = append(change.Ended, is.Id)
 		change.Joined = append(change.Joined, is.Id)
 	case is.Leaving && !was.Leaving:
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -104,7 +104,7 @@
 		from, to := int(u.LayerFrom), int(u.LayerTo)
 		e := chain.Engine{
 			ID: u.Id, Address: u.Address, DataCentre: u.DataCentre, From: from, To: to,
-			StepFactor: k.StepFactor, ReadFactor: k.ReadFactor,
+			StepFactor: k.StepFactor, ReadFactor: k.ReadFactor, Drag: 1 + c.dragOf(u.Id, now),
 			Room: roomOf(p.Engine, k, to-from), Held: float64(held.tokens), Requests: held.requests,
 		}
 		if from == 0 {
@@ -115,6 +115,14 @@
 	return out
 }
 
+// dragOf returns an engine's drag.
+func (c *Catalog) dragOf(id string, now clock.Time) float64 {
+	if h := c.health[id]; h != nil {
+		return h.dragNow(now)
+	}
+	return 0
+}
+
 // roomOf returns the memory for requests in tokens times layers.
 func roomOf(e *tables.Engine, k tables.Accelerator, layers int) float64 {
 	const bytesPerMB = 1e6
--- a/internal/routing/catalog/health.go
+++ b/internal/routing/catalog/health.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"math"
+	"slices"
+
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 )
 
@@ -12,6 +15,19 @@
 	faultWeight = 0.15
 	// faultyShare is the share of faulty answers from which on others are preferred.
 	faultyShare = 0.25
+	// deadPause is for how long an upstream that was found dead gets no requests.
+	deadPause = 2 * clock.Second
+	// deadLife is how long the finding counts without being renewed.
+	deadLife = 2500 * clock.Millisecond
+	// evidenceLife is how long a VM tells others of its own finding.
+	evidenceLife = 1 * clock.Second
+	// dragWeight is the part of the newest observation in an engine's drag, and
+	// dragHalfLife the span in which drag fades without one.
+	dragWeight   = 0.15
+	dragHalfLife = 4 * clock.Second
+	// dragTolerance is the excess over the estimate that counts as none.
+	dragTolerance = 0.5
+	mostDrag      = 6.0
 )
 
 // health is how an upstream behaved towards this VM.
@@ -19,6 +35,12 @@
 	failures int // Connections that failed, in a row.
 	pausedTo clock.Time
 	faults   float64 // Share of answers that were faults, newest weigh most.
+	// deadAt is when this VM or another last found the upstream dead, and deadSince
+	// when that began; 0 when it is not thought dead.
+	deadAt, deadSince clock.Time
+	ownEvidence       clock.Time // When this VM itself last found it dead.
+	drag              float64    // Observed time over the estimate, less 1; see Observed.
+	dragAt            clock.Time
 }
 
 func (c *Catalog) healthOf(id string) *health {
@@ -45,6 +67,88 @@
 	h.pausedTo = max(h.pausedTo, c.clock.Now().Add(pause))
 }
 
+// Dead notes that an upstream was found dead: nothing that depends on it goes on. Those
+// who watch it are told. own says that the evidence is this VM's own, which it tells
+// the others.
+func (c *Catalog) Dead(id string, own bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, live := c.registry.Get(id); !live {
+		return
+	}
+	now := c.clock.Now()
+	h := c.healthOf(id)
+	if h.deadSince == 0 || now.Sub(h.deadAt) > deadLife {
+		h.deadSince = now
+	}
+	h.deadAt = now
+	if own {
+		h.ownEvidence = now
+	}
+	h.pausedTo = max(h.pausedTo, now.Add(deadPause))
+	for w := range c.watchers[id] {
+		w.fire()
+	}
+	delete(c.watchers, id)
+}
+
+// alive ends the belief that an upstream is dead.
+func (c *Catalog) alive(id string) {
+	if h := c.health[id]; h != nil && h.deadSince != 0 {
+		h.deadSince, h.deadAt, h.ownEvidence, h.failures = 0, 0, 0, 0
+		h.pausedTo = c.clock.Now()
+	}
+}
+
+// DeadFor returns for how long an upstream has been thought dead.
+func (c *Catalog) DeadFor(id string) clock.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, now := c.health[id], c.clock.Now()
+	if h == nil || h.deadSince == 0 || now.Sub(h.deadAt) > deadLife {
+		return 0
+	}
+	return now.Sub(h.deadSince)
+}
+
+// dead lists the upstreams that this VM itself found dead just now.
+func (c *Catalog) dead(now clock.Time) []string {
+	var out []string
+	for id, h := range c.health {
+		if h.ownEvidence != 0 && now.Sub(h.ownEvidence) < evidenceLife {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Observed notes how long a step took on a path, as a multiple of the estimate. Every
+// engine of the path takes a part of the blame, so that paths through a slow engine
+// or link cost more and others are preferred.
+func (c *Catalog) Observed(engines []string, ratio float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	for _, id := range engines {
+		if _, live := c.registry.Get(id); !live {
+			continue
+		}
+		h := c.healthOf(id)
+		was := h.dragNow(now)
+		h.drag = was + dragWeight*(min(mostDrag, max(0, ratio-1-dragTolerance))-was)
+		h.dragAt = now
+	}
+}
+
+// dragNow returns the drag, which fades so that the engine is tried again.
+func (h *health) dragNow(now clock.Time) float64 {
+	if h.drag == 0 {
+		return 0
+	}
+	return h.drag * math.Pow(0.5, float64(now.Sub(h.dragAt))/float64(dragHalfLife))
+}
+
 // Busy notes that an upstream refused a request for want of room or readiness.
 func (c *Catalog) Busy(id string, span clock.Duration) {
 	c.mu.Lock()
@@ -59,6 +163,7 @@
 func (c *Catalog) Answered(id string, fault bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.alive(id)
 	h := c.healthOf(id)
 	h.failures = 0
 	now := 0.0
--- a/internal/routing/catalog/holds.go
+++ b/internal/routing/catalog/holds.go
@@ -77,12 +77,16 @@
 	for id, h := range c.own {
 		o.Holds = append(o.Holds, &fleetpb.Hold{Upstream: id, Requests: uint32(h.requests), Tokens: uint64(max(0, h.tokens))})
 	}
+	o.Unreachable = c.dead(c.clock.Now())
 	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return o
 }
 
 // TakeOccupancy takes another VM's word on what its requests hold.
 func (c *Catalog) TakeOccupancy(vm string, o *fleetpb.Occupancy) {
+	for _, id := range o.Unreachable {
+		c.Dead(id, false)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	was := c.others[vm]
--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -52,7 +52,9 @@
 	Held       float64 // Of that, what requests hold.
 	Requests   int     // Requests that pass through.
 	Firsts     int     // Of those, the ones that came to it first.
-	PenaltyMs  float64 // Added for an engine that is under suspicion.
+	// Drag multiplies the estimate in the comparison of paths, for engines whose paths
+	// were slower than estimated; 0 counts as 1.
+	Drag float64
 }
 
 // Model holds the times that all engines share; see tables.Engine.
@@ -207,7 +209,7 @@
 			}
 		}
 		next := step{first: here.first + first, token: here.token + token, engine: i, from: at, previous: c, hops: here.hops + 1}
-		next.cost = here.cost + first + token*float64(s.r.Answer) + e.PenaltyMs
+		next.cost = here.cost + max(1, e.Drag)*(first+token*float64(s.r.Answer))
 		j := e.To*n + s.centre[i]
 		if !known[j] || next.cost < table[j].cost {
 			table[j], known[j] = next, true
