Keep paths through a gap, and tell a lost packet from a dead engine

Change: engines only grow, with room kept, while paths can lead around through another data centre; three failed tries make an engine dead; a further run begins at an engine that was used already.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -50,6 +50,8 @@
 	// unknownPause is how long an engine gets no other order after one without an
 	// answer.
 	unknownPause = 1500 * clock.Millisecond
+	// refusedPause is how long an engine that refused an order gets no other.
+	refusedPause = 1 * clock.Second
 	// loadSlack is added to the expected time of a load before an engine counts as
 	// settled though it does not show its range.
 	loadSlack = 4 * clock.Second
@@ -238,7 +240,9 @@
 		st.taken++
 		st.from, st.to, st.until = o.From, o.To, now.Add(load*loadCrowd+loadSlack)
 	case errors.Is(err, ErrRefused):
+		// It may still carry out an earlier order.
 		st.takenOK = false
+		st.from, st.to, st.until = o.From, o.To, now.Add(refusedPause)
 	default:
 		st.takenOK = false
 		st.from, st.to, st.until = o.From, o.To, now.Add(unknownPause)
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -358,7 +358,7 @@
 	report, err := r.engines.Report(ctx, id, address)
 	if err != nil {
 		r.log.Decision("upstreamSuspected", id, "reason", "no report", "error", err.Error())
-		r.catalog.Dead(id, true)
+		r.catalog.Unreachable(id)
 		return
 	}
 	for _, other := range report.Stalled {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -36,6 +36,8 @@
 	// no room or depended on one that had none.
 	movedPause   = 1200 * clock.Millisecond
 	refusedPause = 400 * clock.Millisecond
+	// maxRuns bounds the runs of one request.
+	maxRuns = 5
 	// urgencies is the number of ranks that engines know.
 	urgencies = 10
 )
@@ -52,10 +54,12 @@
 	begun   bool  // The answer's head was sent to the caller.
 	runs    int   // Runs that may have begun.
 	refused int   // Sends that an upstream refused unrun.
+	// used are the upstreams that may have run it, as the first of their path.
+	used map[string]bool
 }
 
 func newStream(h *Handler, x *exchange.Exchange) *stream {
-	s := &stream{h: h, x: x, exclude: map[string]bool{}}
+	s := &stream{h: h, x: x, exclude: map[string]bool{}, used: map[string]bool{}}
 	usualPrompt, usualAnswer := 0, 0
 	if e := x.Forward.Pool.Engine; e != nil {
 		usualPrompt, usualAnswer = e.UsualPrompt, e.UsualAnswer
@@ -109,6 +113,7 @@
 		s.note(t, end)
 		if !end.notRun && end.cause != nil && !end.ours {
 			s.runs++
+			s.used[t.id] = true
 		}
 		switch {
 		case end.cause == nil:
@@ -135,7 +140,7 @@
 		if !route.Events.Resumable {
 			return errNoResume
 		}
-		if s.runs >= max(1, route.Attempts) && !s.ended(t) {
+		if s.runs >= maxRuns || s.x.Forward.Pool.Engine == nil && s.firsts() != nil {
 			return errAttempts
 		}
 	}
@@ -145,11 +150,20 @@
 	return nil
 }
 
-// ended reports whether the first upstream of a run is gone, so that its run counts
-// for no attempt.
-func (s *stream) ended(t target) bool {
-	_, live := s.h.cfg.Catalog.Upstream(t.id)
-	return !live
+// firsts returns the upstreams that another run may begin at: any while the route's
+// attempts allow a new one, and then only those that were used. One that has ended
+// counts for no attempt.
+func (s *stream) firsts() map[string]bool {
+	counted := 0
+	for id := range s.used {
+		if _, live := s.h.cfg.Catalog.Upstream(id); live {
+			counted++
+		}
+	}
+	if counted < max(1, s.x.Forward.Route.Attempts) {
+		return nil
+	}
+	return s.used
 }
 
 // choose finds a path, and waits a little for room.
@@ -191,7 +205,7 @@
 		return target{id: u.ID, address: u.Address, release: s.h.cfg.Catalog.HoldOne(u.ID)}, nil
 	}
 	p, release, err := s.h.cfg.Catalog.ChoosePath(pool, chain.Request{
-		Prompt: s.prompt, Answer: s.answer, Home: s.h.cfg.DataCentre, Exclude: s.exclude,
+		Prompt: s.prompt, Answer: s.answer, Home: s.h.cfg.DataCentre, Exclude: s.exclude, First: s.firsts(),
 	})
 	if err != nil {
 		return target{}, err
--- a/internal/routing/catalog/health.go
+++ b/internal/routing/catalog/health.go
@@ -15,6 +15,9 @@
 	faultWeight = 0.15
 	// faultyShare is the share of faulty answers from which on others are preferred.
 	faultyShare = 0.25
+	// deadFailures is how many tries in a row, each after a pause, must fail before an
+	// upstream counts as dead; a lost packet alone makes one fail.
+	deadFailures = 3
 	// deadPause is for how long an upstream that was found dead gets no requests.
 	deadPause = 2 * clock.Second
 	// deadLife is how long the finding counts without being renewed.
@@ -61,10 +64,15 @@
 	if _, live := c.registry.Get(id); !live {
 		return
 	}
-	h := c.healthOf(id)
-	pause := min(longPause, firstPause<<min(h.failures, 8))
-	h.failures++
-	h.pausedTo = max(h.pausedTo, c.clock.Now().Add(pause))
+	h, now := c.healthOf(id), c.clock.Now()
+	if now.Before(h.pausedTo) {
+		// Requests that were under way together fail together and count once.
+		return
+	}
+	h.pausedTo = now.Add(min(longPause, firstPause<<min(h.failures, 8)))
+	if h.failures++; h.failures >= deadFailures {
+		c.dead(id, now, true)
+	}
 }
 
 // Dead notes that an upstream was found dead: nothing that depends on it goes on. Those
@@ -73,10 +81,12 @@
 func (c *Catalog) Dead(id string, own bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, live := c.registry.Get(id); !live {
-		return
+	if _, live := c.registry.Get(id); live {
+		c.dead(id, c.clock.Now(), own)
 	}
-	now := c.clock.Now()
+}
+
+func (c *Catalog) dead(id string, now clock.Time, own bool) {
 	h := c.healthOf(id)
 	if h.deadSince == 0 || now.Sub(h.deadAt) > deadLife {
 		h.deadSince = now
@@ -111,8 +121,8 @@
 	return now.Sub(h.deadSince)
 }
 
-// dead lists the upstreams that this VM itself found dead just now.
-func (c *Catalog) dead(now clock.Time) []string {
+// deadHere lists the upstreams that this VM itself found dead just now.
+func (c *Catalog) deadHere(now clock.Time) []string {
 	var out []string
 	for id, h := range c.health {
 		if h.ownEvidence != 0 && now.Sub(h.ownEvidence) < evidenceLife {
--- a/internal/routing/catalog/holds.go
+++ b/internal/routing/catalog/holds.go
@@ -77,7 +77,7 @@
 	for id, h := range c.own {
 		o.Holds = append(o.Holds, &fleetpb.Hold{Upstream: id, Requests: uint32(h.requests), Tokens: uint64(max(0, h.tokens))})
 	}
-	o.Unreachable = c.dead(c.clock.Now())
+	o.Unreachable = c.deadHere(c.clock.Now())
 	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return o
 }
--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -19,7 +19,7 @@
 const (
 	// crossFactor multiplies the transfer time between data centres, whose pipe is
 	// shared by all.
-	crossFactor = 6.0
+	crossFactor = 20.0
 	// fullAt is the share of an engine's memory beyond which a path counts as full.
 	// The rest absorbs requests that other VMs sent meanwhile.
 	fullAt = 0.94
@@ -79,6 +79,8 @@
 	Home   string
 	// Exclude names engines that the path must avoid.
 	Exclude map[string]bool
+	// First names the engines that the path may begin with; nil allows any.
+	First map[string]bool
 }
 
 // Hop is an engine's part of a path.
@@ -196,7 +198,7 @@
 		if e.From > at {
 			break
 		}
-		if e.To <= at || bounded && !s.fits(e, at, e.To, at == 0) {
+		if e.To <= at || at == 0 && s.r.First != nil && !s.r.First[e.ID] || bounded && !s.fits(e, at, e.To, at == 0) {
 			continue
 		}
 		first, token := s.times(e, at, e.To)
--- a/internal/routing/layers/layers.go
+++ b/internal/routing/layers/layers.go
@@ -25,10 +25,11 @@
 	copyShare = 1.6
 	// copyHops bounds the engines of one copy, well below chain.MaxHops.
 	copyHops = 24
-	// leastTokens is the room that an engine must keep when it grows to close a gap.
+	// growTokens is the room that an engine must keep when it grows to close a gap that
+	// paths can lead around through another data centre.
+	growTokens = 60_000
+	// leastTokens is the room that it must keep when no engine at all holds the layer.
 	leastTokens = 8_000
-	// farther is the worth of an engine's room for each engine between it and a gap.
-	farther = 0.8
 )
 
 // Model is the model that the engines hold.
@@ -60,12 +61,24 @@
 // leave must not be given.
 func Plan(m Model, engines []Engine) []Order {
 	var orders []Order
+	elsewhere := depth(m, engines)
 	for _, g := range groups(m, engines) {
-		orders = append(orders, planGroup(m, g)...)
+		orders = append(orders, planGroup(m, g, elsewhere)...)
 	}
 	return orders
 }
 
+// depth counts the engines that hold each layer.
+func depth(m Model, engines []Engine) []int {
+	held := make([]int, m.Layers)
+	for _, e := range engines {
+		for l := e.From; l < min(e.To, m.Layers); l++ {
+			held[l]++
+		}
+	}
+	return held
+}
+
 // Capacity returns how many tokens an engine has room for beside layers weights.
 func (m Model) Capacity(memoryMB float64, layers int) float64 {
 	if layers == 0 {
@@ -111,8 +124,9 @@
 	return own
 }
 
-// planGroup closes the gaps of a group, or fills it when nothing is held.
-func planGroup(m Model, g []Engine) []Order {
+// planGroup closes the gaps of a group, or fills it when nothing is held. fleet counts
+// the engines of all groups that hold each layer.
+func planGroup(m Model, g []Engine, fleet []int) []Order {
 	g = slices.Clone(g)
 	slices.SortFunc(g, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), strings.Compare(a.ID, b.ID))
@@ -120,7 +134,7 @@
 	if !slices.ContainsFunc(g, func(e Engine) bool { return e.To > e.From }) {
 		return fill(m, g)
 	}
-	p := &repair{m: m, engines: g, ordered: map[int]string{}}
+	p := &repair{m: m, engines: g, fleet: fleet, ordered: map[int]string{}}
 	p.closeGaps()
 	p.useIdle()
 	return p.orders()
--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -4,27 +4,35 @@
 type repair struct {
 	m       Model
 	engines []Engine
+	fleet   []int          // Engines of all groups that hold each layer.
 	ordered map[int]string // Reason of each changed engine, by index.
 }
 
-// closeGaps covers the layers that no engine of the group holds. Idle engines come
-// first, then the neighbours of the gap grow, the one with more room first.
+// closeGaps covers layers that no engine of the group holds. Idle engines come first,
+// then the neighbours of the gap grow, the one with more room first. No engine gives
+// layers up while others of the fleet hold the gap's layers, because requests in
+// flight would lose them.
 func (p *repair) closeGaps() {
+	skip := 0
 	for range p.m.Layers {
-		from, to := p.gap()
+		from, to := p.gap(skip)
 		if from == to {
 			return
 		}
-		if !p.placeIdle(from, to) && !p.grow(from, to) && !p.moveSpare(from, to) {
-			return
+		if p.placeIdle(from, to) || p.grow(from, to) {
+			continue
+		}
+		if p.fleet[from] == 0 && p.moveSpare(from, to) {
+			continue
 		}
+		skip = to
 	}
 }
 
-// gap returns the first range that nobody holds.
-func (p *repair) gap() (from, to int) {
-	held := p.holders()
-	for from < p.m.Layers && held[from] > 0 {
+// gap returns the first range from a layer on that nobody in the group holds.
+func (p *repair) gap(after int) (from, to int) {
+	held := depth(p.m, p.engines)
+	for from = after; from < p.m.Layers && held[from] > 0; {
 		from++
 	}
 	for to = from; to < p.m.Layers && held[to] == 0; {
@@ -33,17 +41,6 @@
 	return from, to
 }
 
-// holders counts the engines that hold each layer.
-func (p *repair) holders() []int {
-	held := make([]int, p.m.Layers)
-	for _, e := range p.engines {
-		for l := e.From; l < e.To; l++ {
-			held[l]++
-		}
-	}
-	return held
-}
-
 // placeIdle puts the smallest idle engine that can hold the gap there, or the
 // largest one when none can.
 func (p *repair) placeIdle(from, to int) bool {
@@ -65,83 +62,38 @@
 	return true
 }
 
-// grow closes one layer of the gap: an engine near it takes one layer more, and those
-// between shift by one. Near engines are preferred, because each shift is a load.
+// grow extends an engine next to the gap by one layer.
 func (p *repair) grow(from, to int) bool {
-	left := p.donors(from, func(e Engine) int { return e.To }, func(e Engine) int { return e.From })
-	right := p.donors(to, func(e Engine) int { return e.From }, func(e Engine) int { return e.To })
-	leftAt, leftValue := p.bestDonor(left)
-	rightAt, rightValue := p.bestDonor(right)
-	switch {
-	case leftAt < 0 && rightAt < 0:
-		return false
-	case leftValue >= rightValue:
-		p.shift(left[:leftAt+1], 1)
-	default:
-		p.shift(right[:rightAt+1], -1)
+	floor := float64(growTokens)
+	if p.fleet[from] == 0 {
+		floor = leastTokens
 	}
-	return true
-}
-
-// donors returns the engines that adjoin a boundary one after the other, the nearest
-// first. near and far give an engine's ends as seen from the boundary.
-func (p *repair) donors(boundary int, near, far func(Engine) int) []int {
-	var chain []int
-	used := map[int]bool{}
-	for len(chain) < len(p.engines) {
-		best := -1
-		for i, e := range p.engines {
-			if used[i] || !e.Settled || e.To == e.From || near(e) != boundary {
-				continue
-			}
-			if best < 0 || p.m.Capacity(e.MemoryMB, e.To-e.From) > p.m.Capacity(p.engines[best].MemoryMB, p.engines[best].To-p.engines[best].From) {
-				best = i
-			}
-		}
-		if best < 0 {
-			break
+	best, bestRoom := -1, floor
+	for i, e := range p.engines {
+		if !e.Settled || e.To == e.From || e.To != from && e.From != to {
+			continue
 		}
-		used[best] = true
-		chain = append(chain, best)
-		boundary = far(p.engines[best])
-	}
-	return chain
-}
-
-// bestDonor returns which engine of a chain should take one layer more, and its value,
-// or -1 when none can.
-func (p *repair) bestDonor(chain []int) (at int, value float64) {
-	at = -1
-	weight := 1.0
-	for k, i := range chain {
-		e := p.engines[i]
 		n := e.To - e.From + 1
-		if room := p.m.Capacity(e.MemoryMB, n); n <= p.m.most(e.MemoryMB) && room > leastTokens && room*weight > value {
-			at, value = k, room*weight
+		if room := p.m.Capacity(e.MemoryMB, n); n <= p.m.most(e.MemoryMB) && room > bestRoom {
+			best, bestRoom = i, room
 		}
-		weight *= farther
 	}
-	return at, value
-}
-
-// shift moves the engines of a chain by one layer towards the gap, of which the last
-// one keeps its far end.
-func (p *repair) shift(chain []int, by int) {
-	for k, i := range chain {
-		e := p.engines[i]
-		from, to := e.From+by, e.To+by
-		if k == len(chain)-1 {
-			from, to = min(e.From, from), max(e.To, to)
-		}
-		p.set(i, from, to, "closeGap")
+	if best < 0 {
+		return false
+	}
+	e := p.engines[best]
+	if e.To == from {
+		p.set(best, e.From, e.To+1, "closeGap")
+	} else {
+		p.set(best, e.From-1, e.To, "closeGap")
 	}
+	return true
 }
 
-// moveSpare moves an engine all of whose layers others hold too.
+// moveSpare moves an engine all of whose layers others of the fleet hold too.
 func (p *repair) moveSpare(from, to int) bool {
-	held := p.holders()
 	for i, e := range p.engines {
-		if !e.Settled || e.To == e.From || p.ordered[i] != "" || !covered(held, e, 2) {
+		if !e.Settled || e.To == e.From || p.ordered[i] != "" || !covered(p.fleet, e, 2) {
 			continue
 		}
 		width := min(to-from, p.m.most(e.MemoryMB))
@@ -212,6 +164,12 @@
 }
 
 func (p *repair) set(i, from, to int, reason string) {
+	for l := p.engines[i].From; l < p.engines[i].To; l++ {
+		p.fleet[l]--
+	}
+	for l := from; l < to; l++ {
+		p.fleet[l]++
+	}
 	p.engines[i].From, p.engines[i].To = from, to
 	p.ordered[i] = reason
 }
