Tell layers as soon as they are loaded; a new engine waits for a gap

Change: the leader asks an engine when its load should be done and tells all VMs; an idle engine is placed at once only into a gap.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,13 +41,17 @@
 	// gapPatience is how long an engine that was lost has to come back before others
 	// take its layers.
 	gapPatience = 700 * clock.Millisecond
-	// planPatience is how long a plan must stay wanted before it is carried out.
-	planPatience = 300 * clock.Millisecond
+	// newSpan is how long an engine counts as new; see layers.Engine.
+	newSpan = 2500 * clock.Millisecond
+	// askEvery is the span between two questions to an engine whether it has carried
+	// out its order, from the time on when it should have.
+	askEvery = 150 * clock.Millisecond
 	// settleLimit bounds that wait.
 	settleLimit = 4 * clock.Second
 	// leaseMargin is the lease that must be left when an order is sent.
 	leaseMargin  = 50 * clock.Millisecond
 	orderTimeout = 1 * time.Second
+	askTimeout   = 300 * time.Millisecond
 	// unknownPause is how long an engine gets no other order after one without an
 	// answer.
 	unknownPause = 1500 * clock.Millisecond
@@ -67,9 +72,10 @@
 
 // Report is an engine's own account.
 type Report struct {
-	Taken   int64 // Orders that it has taken since its start.
-	Busy    bool
-	Stalled []string // Addresses of engines that its requests wait for in vain.
+	Taken    int64 // Orders that it has taken since its start.
+	Busy     bool
+	From, To int      // Layers that it holds.
+	Stalled  []string // Addresses of engines that its requests wait for in vain.
 }
 
 // API reaches engines.
@@ -99,7 +105,6 @@
 	changed clock.Time              // When seen changed.
 	first   clock.Time              // When an engine was first seen.
 	began   clock.Time
-	wanted  clock.Time // Since when a plan differs from what engines hold.
 }
 
 // engineState is what the controller knows of one process of an engine.
@@ -109,6 +114,7 @@
 	takenOK  bool // taken is known.
 	from, to int  // Range of the order under way.
 	until    clock.Time
+	done     clock.Time // When the order should be carried out; 0 after that.
 }
 
 // Run places layers until ctx ends.
@@ -121,7 +127,7 @@
 		}
 		if term != c.term {
 			// Another VM may have given orders since.
-			c.term, c.known, c.seen, c.first, c.wanted = term, map[string]*engineState{}, 0, 0, 0
+			c.term, c.known, c.seen, c.first = term, map[string]*engineState{}, 0, 0
 		}
 		index := c.Catalog.Tables()
 		if index == nil {
@@ -140,34 +146,26 @@
 	now := c.Clock.Now()
 	upstreams := map[string]*registry.Upstream{}
 	var engines []layers.Engine
-	held := false
-	for _, u := range c.Catalog.Members(p.Service) {
+	members := c.Catalog.Members(p.Service)
+	anyHeld := slices.ContainsFunc(members, func(u *registry.Upstream) bool { return u.LayerTo > u.LayerFrom })
+	c.askDone(ctx, now, members)
+	for _, u := range members {
 		k, ok := p.Engine.Kind(u.Accelerator)
 		if !ok || u.Leaving || c.Catalog.DeadFor(u.Id) >= gapPatience {
 			continue
 		}
 		upstreams[u.Id] = u
 		e := layers.Engine{ID: u.Id, DataCentre: u.DataCentre, MemoryMB: k.MemoryMB, From: int(u.LayerFrom), To: int(u.LayerTo), Settled: true}
-		held = held || e.To > e.From
 		c.underWay(now, u, &e)
+		e.New = e.To == e.From && anyHeld && now.Sub(u.FirstSeen) < newSpan
 		engines = append(engines, e)
 	}
 	stable := c.stable(now, len(engines))
-	if len(engines) == 0 || now.Sub(c.began) < viewSettle || !held && !stable {
+	if len(engines) == 0 || now.Sub(c.began) < viewSettle || !anyHeld && !stable {
 		return
 	}
 	m := layers.Model{Layers: p.Engine.Layers, LayerMB: p.Engine.LayerMB, TokenMB: p.Engine.CacheBytes / 1e6}
 	orders := layers.Plan(m, engines)
-	if len(orders) == 0 {
-		c.wanted = 0
-		return
-	}
-	if c.wanted == 0 {
-		c.wanted = now
-	}
-	if held && now.Sub(c.wanted) < planPatience {
-		return
-	}
 	var sends sync.WaitGroup
 	for _, o := range orders {
 		u := upstreams[o.Engine]
@@ -182,6 +180,34 @@
 	sends.Wait()
 }
 
+// askDone asks engines whose order should be carried out by now, and tells what they
+// hold before they announce it.
+func (c *Controller) askDone(ctx context.Context, now clock.Time, members []*registry.Upstream) {
+	for _, u := range members {
+		st := c.known[u.Id]
+		if st == nil || st.started != u.StartedMs || st.done == 0 || now.Before(st.done) {
+			continue
+		}
+		if int(u.LayerFrom) == st.from && int(u.LayerTo) == st.to {
+			st.done = 0
+			continue
+		}
+		st.done = now.Add(askEvery)
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		r, err := c.API.Report(ctx, u.Id, u.Address)
+		cancel()
+		if err != nil {
+			c.Log.Decision("engineReportFailed", u.Id, "address", u.Address, "error", err.Error())
+			st.done = 0
+			continue
+		}
+		if !r.Busy && r.From == st.from && r.To == st.to {
+			st.done = 0
+			c.Catalog.Placed(u, r.From, r.To, true)
+		}
+	}
+}
+
 // underWay replaces an engine's range by the one that an order leads to.
 func (c *Controller) underWay(now clock.Time, u *registry.Upstream, e *layers.Engine) {
 	st := c.known[u.Id]
@@ -239,6 +265,7 @@
 	case err == nil:
 		st.taken++
 		st.from, st.to, st.until = o.From, o.To, now.Add(load*loadCrowd+loadSlack)
+		st.done = now.Add(load)
 	case errors.Is(err, ErrRefused):
 		// It may still carry out an earlier order.
 		st.takenOK = false
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -72,7 +72,9 @@
 	// Events is how many events of a stream were passed on, and Path the estimate of
 	// its newest run.
 	Events int64 `json:"events,omitempty"`
-	Path   Path  `json:"path,omitzero"`
+	// Pause is the longest time between two events that were passed on.
+	Pause clock.Duration `json:"pauseMs,omitempty"`
+	Path  Path           `json:"path,omitzero"`
 }
 
 // Path is what was expected of a path of engines when it was chosen.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -117,7 +117,7 @@
 	if err == nil {
 		h.cfg.Log.Decision("answered", x.ID, "route", a.Route, "pool", a.Pool, "organisation", x.Organisation,
 			"status", a.Status, "outcome", x.Outcome, "firstMs", int64(a.FirstToken), "tookMs", took.Milliseconds(), "sends", len(a.Sends),
-			"events", a.Events, "upstream", a.Path.First, "hops", a.Path.Hops, "estimateFirstMs", a.Path.FirstMs, "estimateTokenMs", a.Path.TokenMs)
+			"events", a.Events, "pauseMs", int64(a.Pause), "upstream", a.Path.First, "hops", a.Path.Hops, "estimateFirstMs", a.Path.FirstMs, "estimateTokenMs", a.Path.TokenMs)
 		return
 	}
 	h.cfg.Log.Decision("failed", x.ID, "route", a.Route, "pool", a.Pool, "organisation", x.Organisation,
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -49,11 +49,12 @@
 	exclude map[string]bool
 	prompt  int
 	answer  int
-	asked   int64 // Number of the event after which the caller asked to go on.
-	last    int64 // Number of the newest event that the caller has.
-	begun   bool  // The answer's head was sent to the caller.
-	runs    int   // Runs that may have begun.
-	refused int   // Sends that an upstream refused unrun.
+	asked   int64     // Number of the event after which the caller asked to go on.
+	last    int64     // Number of the newest event that the caller has.
+	begun   bool      // The answer's head was sent to the caller.
+	runs    int       // Runs that may have begun.
+	passed  time.Time // When events were last passed on.
+	refused int       // Sends that an upstream refused unrun.
 	// used are the upstreams that may have run it, as the first of their path.
 	used map[string]bool
 }
@@ -282,6 +283,11 @@
 			out, order = split.Feed(out[:0], buf[:n])
 			if len(out) > 0 {
 				stall.progress(split.Last - s.last)
+				now := time.Now()
+				if s.begun {
+					s.x.Account.Pause = max(s.x.Account.Pause, clock.FromStd(now.Sub(s.passed)))
+				}
+				s.passed = now
 				if werr := s.emit(a, out); werr != nil {
 					return runEnd{ours: true, cause: werr}
 				}
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -43,6 +43,7 @@
 	views    map[string]*poolView // By pool.
 	room     chan struct{}        // Closed when a request gave back what it held.
 	ticked   clock.Time
+	placed   map[string]*placed
 	watchers map[string]map[watchEntry]struct{} // By upstream.
 }
 
@@ -54,7 +55,7 @@
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, own: map[string]*hold{}, others: map[string]*vmHolds{},
 		views: map[string]*poolView{}, room: make(chan struct{}),
-		watchers: map[string]map[watchEntry]struct{}{},
+		watchers: map[string]map[watchEntry]struct{}{}, placed: map[string]*placed{},
 	}
 }
 
@@ -212,7 +213,11 @@
 }
 
 func (c *Catalog) members(service string) []*registry.Upstream {
-	return slices.DeleteFunc(c.registry.All(), func(u *registry.Upstream) bool { return u.Name != service })
+	all := slices.DeleteFunc(c.registry.All(), func(u *registry.Upstream) bool { return u.Name != service })
+	for i, u := range all {
+		all[i] = c.withPlaced(u)
+	}
+	return all
 }
 
 func (c *Catalog) tell(ch Change) {
--- a/internal/routing/catalog/holds.go
+++ b/internal/routing/catalog/holds.go
@@ -77,7 +77,9 @@
 	for id, h := range c.own {
 		o.Holds = append(o.Holds, &fleetpb.Hold{Upstream: id, Requests: uint32(h.requests), Tokens: uint64(max(0, h.tokens))})
 	}
-	o.Unreachable = c.deadHere(c.clock.Now())
+	now := c.clock.Now()
+	o.Unreachable = c.deadHere(now)
+	o.Placed = c.placedHere(now)
 	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return o
 }
@@ -87,6 +89,7 @@
 	for _, id := range o.Unreachable {
 		c.Dead(id, false)
 	}
+	c.takePlaced(o.Placed)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	was := c.others[vm]
--- a/internal/routing/layers/layers.go
+++ b/internal/routing/layers/layers.go
@@ -48,6 +48,9 @@
 	From, To   int // Layers held; equal when it holds none.
 	// Settled is false while an order is under way, so that it gets no other.
 	Settled bool
+	// New is true of an engine that has just joined: it waits for a gap, because engines
+	// that are to be replaced leave only after their successors have joined.
+	New bool
 }
 
 // Order makes an engine hold a range.
--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -118,7 +118,7 @@
 // useIdle places idle engines where the group has the least room.
 func (p *repair) useIdle() {
 	for i, e := range p.engines {
-		if e.To > e.From || !e.Settled {
+		if e.To > e.From || !e.Settled || e.New {
 			continue
 		}
 		width := p.width(e)
