Let engines load only where few hold a layer; begin paths near the VM

Change: engines grow only where fewer than two hold a layer; a stream without further events passes its head on; a path that begins in another data centre costs 200 ms more.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -306,6 +306,8 @@
 		case !s.begun && s.asked == 0:
 			return runEnd{cause: errCutEvent}
 		default:
+			// A stream that is resumed after its last event ends without another.
+			s.begin(a)
 			return runEnd{}
 		}
 	}
@@ -313,19 +315,25 @@
 
 // emit writes events to the caller, after the head of the first run's answer.
 func (s *stream) emit(a *call.Answer, events []byte) error {
-	if !s.begun {
-		s.begun = true
-		s.x.Account.Status = a.Status
-		s.x.Account.FirstToken = clock.FromStd(time.Since(s.x.Received))
-		copyAnswerHeader(s.x.W.Header(), a.Header)
-		s.x.W.WriteHeader(a.Status)
-	}
+	s.begin(a)
 	if _, err := s.x.W.Write(events); err != nil {
 		return err
 	}
 	return http.NewResponseController(s.x.W).Flush()
 }
 
+// begin writes the head of the first run's answer, once.
+func (s *stream) begin(a *call.Answer) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.x.Account.Status = a.Status
+	s.x.Account.FirstToken = clock.FromStd(time.Since(s.x.Received))
+	copyAnswerHeader(s.x.W.Header(), a.Header)
+	s.x.W.WriteHeader(a.Status)
+}
+
 // note keeps what a run told of the engines on its path.
 func (s *stream) note(t target, end runEnd) {
 	s.x.Account.Sends = append(s.x.Account.Sends, exchange.Send{Upstream: t.id, Result: strconv.Itoa(end.status)})
--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -20,6 +20,9 @@
 	// crossFactor multiplies the transfer time between data centres, whose pipe is
 	// shared by all.
 	crossFactor = 20.0
+	// awayMs is added to a path that begins in another data centre than the VM, whose
+	// events then cross between them.
+	awayMs = 200.0
 	// fullAt is the share of an engine's memory beyond which a path counts as full.
 	// The rest absorbs requests that other VMs sent meanwhile.
 	fullAt = 0.94
@@ -212,6 +215,9 @@
 		}
 		next := step{first: here.first + first, token: here.token + token, engine: i, from: at, previous: c, hops: here.hops + 1}
 		next.cost = here.cost + max(1, e.Drag)*(first+token*float64(s.r.Answer))
+		if at == 0 && s.centre[i] != 0 {
+			next.cost += awayMs
+		}
 		j := e.To*n + s.centre[i]
 		if !known[j] || next.cost < table[j].cost {
 			table[j], known[j] = next, true
--- a/internal/routing/layers/layers.go
+++ b/internal/routing/layers/layers.go
@@ -25,11 +25,11 @@
 	copyShare = 1.6
 	// copyHops bounds the engines of one copy, well below chain.MaxHops.
 	copyHops = 24
-	// growTokens is the room that an engine must keep when it grows to close a gap that
-	// paths can lead around through another data centre.
-	growTokens = 60_000
-	// leastTokens is the room that it must keep when no engine at all holds the layer.
-	leastTokens = 8_000
+	// enoughHolders is how many engines of the fleet must hold a layer for paths to lead
+	// around a gap through other data centres.
+	enoughHolders = 2
+	// leastTokens is the room that an engine must keep when it grows.
+	leastTokens = 30_000
 )
 
 // Model is the model that the engines hold.
--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -62,13 +62,13 @@
 	return true
 }
 
-// grow extends an engine next to the gap by one layer.
+// grow extends an engine next to the gap by one layer. While it loads, the engine's
+// requests stand still, so that this waits until few engines hold the layer.
 func (p *repair) grow(from, to int) bool {
-	floor := float64(growTokens)
-	if p.fleet[from] == 0 {
-		floor = leastTokens
+	if p.fleet[from] >= enoughHolders {
+		return false
 	}
-	best, bestRoom := -1, floor
+	best, bestRoom := -1, float64(leastTokens)
 	for i, e := range p.engines {
 		if !e.Settled || e.To == e.From || e.To != from && e.From != to {
 			continue
