Ping seldom whom one hears; wait for room and for the start within the objective

Cause: an idle VM spent 0.038 of a core, most of it on pings, answers and occupancy in a full mesh; callers whose connection was cut by a power loss came back to VMs that were not ready for some 0.4 s and were refused for good. Change: a VM that was heard is pinged once a second; a request waits up to 0.7 s for a process that has just started, and 0.7 of its objective for room.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -27,6 +27,8 @@
 	// slowInterval otherwise.
 	fastInterval = 200 * clock.Millisecond
 	slowInterval = 1 * clock.Second
+	// pingSlack is how late another VM's regular message may be before it is pinged.
+	pingSlack = 60 * clock.Millisecond
 	// missedToSuspect is the pings that a VM may leave unanswered.
 	missedToSuspect = 3
 	// intervalsToDead is how long a suspected VM has to refute.
@@ -110,6 +112,10 @@
 		c.setRevision(m.Revision)
 	case DrainMsg:
 		c.changeSelf(func(s *fleetpb.Member) { s.Draining = m.Draining })
+	case HeardMsg:
+		if t := c.targets[m.VM]; t != nil {
+			t.heard = now
+		}
 	case StampMsg:
 		c.stamp = max(c.stamp, m.Stamp)
 	case LeaveMsg:
@@ -173,11 +179,13 @@
 	c.flush()
 }
 
-// ping asks each target that is due.
+// ping asks each target that is due. One that was heard lately is asked seldom, so
+// that views are still compared.
 func (c *Core) ping(now clock.Time) {
 	for _, vm := range c.order {
 		t := c.targets[vm]
-		if now.Sub(t.pinged) < c.interval {
+		heard := now.Sub(t.heard) <= c.interval+pingSlack && now.Sub(t.pinged) < slowInterval
+		if now.Sub(t.pinged) < c.interval || heard {
 			continue
 		}
 		t.pinged = now
--- a/internal/fleet/gossip/msg.go
+++ b/internal/fleet/gossip/msg.go
@@ -31,6 +31,12 @@
 	Draining bool
 }
 
+// HeardMsg says that another VM sent something else than gossip, which shows as well
+// that it lives.
+type HeardMsg struct {
+	VM string
+}
+
 // LeaveMsg says that this VM is stopping.
 type LeaveMsg struct{}
 
@@ -46,6 +52,7 @@
 func (RevisionMsg) isMsg() {}
 func (DrainMsg) isMsg()    {}
 func (LeaveMsg) isMsg()    {}
+func (HeardMsg) isMsg()    {}
 func (StampMsg) isMsg()    {}
 
 // Out is a message to send.
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -47,7 +47,7 @@
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
 	leaseTick         = 100 * time.Millisecond
-	occupancyEvery    = 200 * time.Millisecond
+	occupancyEvery    = 240 * time.Millisecond
 	sweepEvery        = 1 * time.Second
 	reportTimeout     = 500 * time.Millisecond
 	// reportPause is the least span between two questions to one engine for whom it
--- a/internal/request/forward/errors.go
+++ b/internal/request/forward/errors.go
@@ -4,6 +4,7 @@
 
 // Reasons for which a send or an answer ends.
 const (
+	errNoTables    = fault.Sentinel("forward: no tables are in force yet")
 	errNoBudget    = fault.Sentinel("forward: the share of repeats is used up")
 	errTooLong     = fault.Sentinel("forward: the answer is longer than an answer may be")
 	errNoIntegrity = fault.Sentinel("forward: the answer bears no integrity header")
--- a/internal/request/forward/filters.go
+++ b/internal/request/forward/filters.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/routing/lookup"
@@ -17,6 +18,11 @@
 const (
 	// notReadyBack is for a VM that does not know the tables yet.
 	notReadyBack = 500 * clock.Millisecond
+	// startWait is how long a request waits for a process that has just started to know
+	// the tables; callers give up on one that is not read within a second. startLook is
+	// the span between two looks.
+	startWait = 700 * time.Millisecond
+	startLook = 20 * time.Millisecond
 	// defaultBody bounds a body when the tables set no bound.
 	defaultBody = 4 << 20
 )
@@ -29,8 +35,8 @@
 
 // Serve implements exchange.Filter.
 func (f *routeFilter) Serve(ctx context.Context, x *exchange.Exchange, next exchange.Handler) error {
-	index := f.h.cfg.Catalog.Tables()
-	if err := f.h.cfg.Ready(); index == nil || err != nil && !f.h.cfg.Closing() {
+	index, err := f.tables(ctx)
+	if err != nil {
 		return refusal.New(refusal.NotReady, http.StatusServiceUnavailable, "the tables in force are not known yet").WithRetryAfter(notReadyBack).WithCause(err)
 	}
 	route, ok := index.Route(x.R.Host, x.R.URL.Path)
@@ -52,6 +58,26 @@
 	return next(ctx, x)
 }
 
+// tables returns the tables in force. A process that has just started learns them in a
+// moment, for which a request waits.
+func (f *routeFilter) tables(ctx context.Context) (*lookup.Index, error) {
+	for waited := time.Duration(0); ; waited += startLook {
+		index, err := f.h.cfg.Catalog.Tables(), f.h.cfg.Ready()
+		if index != nil && (err == nil || f.h.cfg.Closing()) {
+			return index, nil
+		}
+		if err == nil {
+			err = errNoTables
+		}
+		if waited >= startWait || f.h.cfg.Closing() {
+			return nil, err
+		}
+		if werr := delay.Wait(ctx, startLook); werr != nil {
+			return nil, werr
+		}
+	}
+}
+
 // organisationFilter finds the organisation that a request's key belongs to.
 type organisationFilter struct{ h *Handler }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -19,8 +19,8 @@
 // Constants of streams.
 const (
 	// waitPart is the part of the route's objective for which a request waits for room
-	// on a path before it is refused.
-	waitPart = 8
+	// on a path before it is refused. What is left serves for its first event.
+	waitPart = 0.7
 	// resumeWait is how long a broken stream waits for a path that has room.
 	resumeWait = 1500 * time.Millisecond
 	// firstFactor and gapFactor times the estimate, and askSlack, is how long a run may
@@ -169,7 +169,7 @@
 
 // choose finds a path, and waits a little for room.
 func (s *stream) choose(ctx context.Context) (target, error) {
-	wait := s.x.Forward.Route.Objective.Std() / waitPart
+	wait := time.Duration(waitPart * float64(s.x.Forward.Route.Objective.Std()))
 	if s.begun || s.runs > 0 {
 		wait = resumeWait
 	}
