Count the pipes between data centres, and close gaps that stay

Ruled out: engines' memory (no path was full) and dead engines (none reported). Change: each VM counts its transfers on the pipe between two data centres, times the VMs, and takes no pipe with over 250 ms of them waiting; VMs that have not told what they hold are taken to hold as much; engines in use grow into a gap only after 3.5 s.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -41,6 +41,8 @@
 	// gapPatience is how long an engine that was lost has to come back before others
 	// take its layers.
 	gapPatience = 700 * clock.Millisecond
+	// growPatience is how long a gap stays before engines in use grow into it.
+	growPatience = 3500 * clock.Millisecond
 	// newSpan is how long an engine counts as new; see layers.Engine.
 	newSpan = 2500 * clock.Millisecond
 	// askEvery is the span between two questions to an engine whether it has carried
@@ -105,6 +107,7 @@
 	changed clock.Time              // When seen changed.
 	first   clock.Time              // When an engine was first seen.
 	began   clock.Time
+	gapAt   clock.Time // Since when there is a gap that only engines in use could close.
 }
 
 // engineState is what the controller knows of one process of an engine.
@@ -127,7 +130,7 @@
 		}
 		if term != c.term {
 			// Another VM may have given orders since.
-			c.term, c.known, c.seen, c.first = term, map[string]*engineState{}, 0, 0
+			c.term, c.known, c.seen, c.first, c.gapAt = term, map[string]*engineState{}, 0, 0, 0
 		}
 		index := c.Catalog.Tables()
 		if index == nil {
@@ -165,7 +168,7 @@
 		return
 	}
 	m := layers.Model{Layers: p.Engine.Layers, LayerMB: p.Engine.LayerMB, TokenMB: p.Engine.CacheBytes / 1e6}
-	orders := layers.Plan(m, engines)
+	orders := c.plan(now, m, engines)
 	var sends sync.WaitGroup
 	for _, o := range orders {
 		u := upstreams[o.Engine]
@@ -180,6 +183,27 @@
 	sends.Wait()
 }
 
+// plan returns the orders to give now. Engines in use grow only into a gap that has
+// stayed for a while, because the lost engine may come back or its successor join.
+func (c *Controller) plan(now clock.Time, m layers.Model, engines []layers.Engine) []layers.Order {
+	if orders := layers.Plan(m, engines, false); len(orders) > 0 {
+		return orders
+	}
+	orders := layers.Plan(m, engines, true)
+	if len(orders) == 0 {
+		c.gapAt = 0
+		return nil
+	}
+	if c.gapAt == 0 {
+		c.gapAt = now
+	}
+	if now.Sub(c.gapAt) < growPatience {
+		return nil
+	}
+	c.gapAt = 0
+	return orders
+}
+
 // askDone asks engines whose order should be carried out by now, and tells what they
 // hold before they announce it.
 func (c *Controller) askDone(ctx context.Context, now clock.Time, members []*registry.Upstream) {
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -94,6 +94,7 @@
 	started    uint64
 
 	draining atomic.Bool
+	vmCount  atomic.Int64
 	mu       sync.Mutex
 	asked    map[string]clock.Time // When an engine was last asked for whom it waits.
 	ready    bool                  // Readiness as it was last told.
@@ -125,6 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.catalog.SetVMs(r.vms)
 	r.engines = cfg.Engines(r.pool)
 	r.handler = forward.New(forward.Config{
 		Dialect: cfg.Dialect, DataCentre: s.DataCentre, Clock: r.clock, Source: rng.New(src.Uint64()), Catalog: r.catalog, Pool: r.pool,
@@ -160,6 +162,7 @@
 	sequence := uint64(0)
 	r.every(ctx, occupancyEvery, func() {
 		sequence++
+		r.countVMs()
 		r.shareOccupancy(sequence)
 	})
 	c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.engines, Log: r.log}
@@ -304,14 +307,17 @@
 }
 
 // vms returns how many VMs share the retry limits. Lost ones may still be at work.
-func (r *Router) vms() int {
-	n := 0
+func (r *Router) vms() int { return max(1, int(r.vmCount.Load())) }
+
+// countVMs counts the VMs that have not left.
+func (r *Router) countVMs() {
+	n := int64(0)
 	for _, m := range r.plane.Members() {
 		if m.State != fleetpb.Member_LEFT {
 			n++
 		}
 	}
-	return n
+	r.vmCount.Store(n)
 }
 
 func (r *Router) upstreamsChanged(c catalog.Change) {
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -44,6 +44,8 @@
 	room     chan struct{}        // Closed when a request gave back what it held.
 	ticked   clock.Time
 	placed   map[string]*placed
+	pipes    map[pipe]float64 // clock.Time until which each is busy, with fractions.
+	vms      func() int
 	watchers map[string]map[watchEntry]struct{} // By upstream.
 }
 
@@ -55,10 +57,17 @@
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, own: map[string]*hold{}, others: map[string]*vmHolds{},
 		views: map[string]*poolView{}, room: make(chan struct{}),
-		watchers: map[string]map[watchEntry]struct{}{}, placed: map[string]*placed{},
+		watchers: map[string]map[watchEntry]struct{}{}, placed: map[string]*placed{}, pipes: map[pipe]float64{}, vms: func() int { return 1 },
 	}
 }
 
+// SetVMs gives the number of VMs that send requests to the same upstreams.
+func (c *Catalog) SetVMs(vms func() int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = vms
+}
+
 // SetTables implements controlplane.Directory.
 func (c *Catalog) SetTables(doc *tables.Document) {
 	number := uint64(0)
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -78,13 +78,16 @@
 // its engines until release is called.
 func (c *Catalog) ChoosePath(p *tables.Pool, r chain.Request) (path chain.Path, release func(), err error) {
 	c.mu.Lock()
-	engines := c.engines(p, r.Exclude)
-	c.mu.Unlock()
-	path, err = chain.Choose(chainModel(p.Engine), engines, r)
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	m := chainModel(p.Engine)
+	m.PipeMs = func(a, b string) float64 { return c.pipeWait(pipeOf(a, b), now) }
+	path, err = chain.Choose(m, c.engines(p, r.Exclude), r)
 	if err != nil {
 		return path, nil, err
 	}
-	return path, c.Hold(path), nil
+	c.fillPipes(path, r.Prompt, m.CrossMsPerToken)
+	return path, c.hold(path), nil
 }
 
 // engines returns the pool's engines that a path may use.
--- a/internal/routing/catalog/holds.go
+++ b/internal/routing/catalog/holds.go
@@ -30,6 +30,10 @@
 func (c *Catalog) Hold(p chain.Path) (release func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.hold(p)
+}
+
+func (c *Catalog) hold(p chain.Path) (release func()) {
 	for _, h := range p.Hops {
 		c.take(h.Engine, 1, p.Tokens*(h.To-h.From))
 	}
@@ -107,7 +111,9 @@
 func (c *Catalog) held(id string, now clock.Time) hold {
 	var sum hold
 	if h := c.own[id]; h != nil {
-		sum = *h
+		// VMs that have not told yet are taken to send as much as this one.
+		silent := max(0, c.vms()-1-len(c.others))
+		sum = hold{requests: h.requests * (1 + silent), tokens: h.tokens * (1 + silent)}
 	}
 	for vm, v := range c.others {
 		if now.Sub(v.at) > holdsLife {
--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -20,6 +20,8 @@
 	// crossFactor multiplies the transfer time between data centres, whose pipe is
 	// shared by all.
 	crossFactor = 20.0
+	// maxPipeMs is the wait for a pipe beyond which a path does not take it.
+	maxPipeMs = 250.0
 	// awayMs is added to a path that begins in another data centre than the VM, whose
 	// events then cross between them.
 	awayMs = 200.0
@@ -73,6 +75,9 @@
 	CrossMsPerToken float64
 	// HopMs is the delay between two engines.
 	HopMs float64
+	// PipeMs is how long a transfer waits for the pipe between two data centres; nil
+	// means not at all.
+	PipeMs func(a, b string) float64
 }
 
 // Request is what the choice needs to know of a request.
@@ -88,9 +93,10 @@
 
 // Hop is an engine's part of a path.
 type Hop struct {
-	Engine   string
-	Address  string
-	From, To int
+	Engine     string
+	Address    string
+	DataCentre string
+	From, To   int
 }
 
 // Path is a chosen chain with its estimate.
@@ -209,6 +215,11 @@
 			first += s.m.HopMs
 			token += s.m.HopMs
 			if s.centre[i] != c {
+				wait := s.pipe(c, s.centre[i])
+				if wait > maxPipeMs {
+					continue
+				}
+				first += wait
 				first += crossFactor * s.m.CrossMsPerToken * float64(s.r.Prompt)
 				token += crossFactor * s.m.CrossMsPerToken
 			}
@@ -225,6 +236,14 @@
 	}
 }
 
+// pipe returns the wait for the pipe between two data centres, by index.
+func (s *search) pipe(a, b int) float64 {
+	if s.m.PipeMs == nil {
+		return 0
+	}
+	return s.m.PipeMs(s.centres[a], s.centres[b])
+}
+
 // fits reports whether an engine has room for the request.
 func (s *search) fits(e *Engine, from, to int, first bool) bool {
 	if first && s.m.Slots > 0 && e.Firsts >= s.m.Slots {
@@ -254,7 +273,7 @@
 	for at := end; table[at].engine >= 0; {
 		t := table[at]
 		e := s.engines[t.engine]
-		p.Hops = append(p.Hops, Hop{Engine: e.ID, Address: e.Address, From: t.from, To: at / n})
+		p.Hops = append(p.Hops, Hop{Engine: e.ID, Address: e.Address, DataCentre: e.DataCentre, From: t.from, To: at / n})
 		at = t.from*n + t.previous
 	}
 	slices.Reverse(p.Hops)
--- a/internal/routing/layers/layers.go
+++ b/internal/routing/layers/layers.go
@@ -61,12 +61,13 @@
 }
 
 // Plan returns the orders that close gaps and put idle engines to use. Engines that
-// leave must not be given.
-func Plan(m Model, engines []Engine) []Order {
+// leave must not be given. grow also lets engines grow into gaps that paths can lead
+// around, which stops their requests while they load.
+func Plan(m Model, engines []Engine, grow bool) []Order {
 	var orders []Order
-	elsewhere := depth(m, engines)
+	fleet := depth(m, engines)
 	for _, g := range groups(m, engines) {
-		orders = append(orders, planGroup(m, g, elsewhere)...)
+		orders = append(orders, planGroup(m, g, fleet, grow)...)
 	}
 	return orders
 }
@@ -129,7 +130,7 @@
 
 // planGroup closes the gaps of a group, or fills it when nothing is held. fleet counts
 // the engines of all groups that hold each layer.
-func planGroup(m Model, g []Engine, fleet []int) []Order {
+func planGroup(m Model, g []Engine, fleet []int, grow bool) []Order {
 	g = slices.Clone(g)
 	slices.SortFunc(g, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), strings.Compare(a.ID, b.ID))
@@ -137,7 +138,7 @@
 	if !slices.ContainsFunc(g, func(e Engine) bool { return e.To > e.From }) {
 		return fill(m, g)
 	}
-	p := &repair{m: m, engines: g, fleet: fleet, ordered: map[int]string{}}
+	p := &repair{m: m, engines: g, fleet: fleet, always: grow, ordered: map[int]string{}}
 	p.closeGaps()
 	p.useIdle()
 	return p.orders()
--- a/internal/routing/layers/layers_test.go
+++ b/internal/routing/layers/layers_test.go
@@ -48,40 +48,27 @@
 }
 
 // whole reports whether the engines of a data centre hold every layer.
-func whole(engines []layers.Engine, dc string) bool {
-	var held [80]bool
-	for _, e := range engines {
-		for l := e.From; l < e.To && e.DataCentre == dc; l++ {
-			held[l] = true
-		}
-	}
-	for _, h := range held {
-		if !h {
-			return false
-		}
-	}
-	return true
-}
+func whole(engines []layers.Engine, dc string) bool { return missing(engines, dc) == 0 }
 
 func TestEachDataCentreGetsACopyWithRoom(t *testing.T) {
 	engines := fleet()
-	carry(t, engines, layers.Plan(model, engines))
+	carry(t, engines, layers.Plan(model, engines, false))
 	for _, dc := range []string{"e", "h", "s"} {
 		assert.Assert(t, whole(engines, dc), dc)
 	}
 	for _, e := range engines {
 		assert.Assert(t, model.Capacity(e.MemoryMB, e.To-e.From) > 100_000, "%+v", e)
 	}
-	assert.Equal(t, len(layers.Plan(model, engines)), 0, "a plan that is carried out stays")
+	assert.Equal(t, len(layers.Plan(model, engines, false)), 0, "a plan that is carried out stays")
 }
 
 // TestLossLeavesEveryLayerHeldAndNobodyGivesUpLayers loses each engine in turn.
 func TestLossLeavesEveryLayerHeldAndNobodyGivesUpLayers(t *testing.T) {
 	for lost := range fleet() {
 		engines := fleet()
-		carry(t, engines, layers.Plan(model, engines))
+		carry(t, engines, layers.Plan(model, engines, false))
 		engines = append(engines[:lost], engines[lost+1:]...)
-		for _, o := range layers.Plan(model, engines) {
+		for _, o := range layers.Plan(model, engines, false) {
 			for _, e := range engines {
 				assert.Assert(t, e.ID != o.Engine || o.From <= e.From && o.To >= e.To, "%v gives layers up", o)
 			}
@@ -89,19 +76,49 @@
 	}
 }
 
+// TestGapThatStaysIsClosedByNeighbours loses each engine in turn, for good.
+func TestGapThatStaysIsClosedByNeighbours(t *testing.T) {
+	for lost := range fleet() {
+		engines := fleet()
+		carry(t, engines, layers.Plan(model, engines, false))
+		dc := engines[lost].DataCentre
+		engines = append(engines[:lost], engines[lost+1:]...)
+		before := missing(engines, dc)
+		carry(t, engines, layers.Plan(model, engines, true))
+		assert.Assert(t, missing(engines, dc) < before, "engine %d lost", lost)
+	}
+}
+
+// missing counts the layers that no engine of a data centre holds.
+func missing(engines []layers.Engine, dc string) int {
+	var held [80]bool
+	for _, e := range engines {
+		for l := e.From; l < e.To && e.DataCentre == dc; l++ {
+			held[l] = true
+		}
+	}
+	n := 0
+	for _, h := range held {
+		if !h {
+			n++
+		}
+	}
+	return n
+}
+
 // TestLayerThatNobodyHoldsIsTakenByAnyNeighbour loses the holders of a layer in all
 // data centres.
 func TestLayerThatNobodyHoldsIsTakenByAnyNeighbour(t *testing.T) {
 	for layer := range 80 {
 		engines := fleet()
-		carry(t, engines, layers.Plan(model, engines))
+		carry(t, engines, layers.Plan(model, engines, false))
 		kept := engines[:0]
 		for _, e := range engines {
 			if layer < e.From || layer >= e.To {
 				kept = append(kept, e)
 			}
 		}
-		carry(t, kept, layers.Plan(model, kept))
+		carry(t, kept, layers.Plan(model, kept, false))
 		held := false
 		for _, e := range kept {
 			held = held || e.From <= layer && layer < e.To
@@ -112,17 +129,17 @@
 
 func TestEngineThatCameBackEmptyFillsItsGap(t *testing.T) {
 	engines := fleet()
-	carry(t, engines, layers.Plan(model, engines))
+	carry(t, engines, layers.Plan(model, engines, false))
 	engines[3].From, engines[3].To = 0, 0
-	carry(t, engines, layers.Plan(model, engines))
+	carry(t, engines, layers.Plan(model, engines, false))
 	assert.Assert(t, whole(engines, "e"))
 }
 
 func TestNewEngineAddsRoom(t *testing.T) {
 	engines := fleet()
-	carry(t, engines, layers.Plan(model, engines))
+	carry(t, engines, layers.Plan(model, engines, false))
 	engines = append(engines, layers.Engine{ID: "new", DataCentre: "e", MemoryMB: 21600, Settled: true})
-	orders := layers.Plan(model, engines)
+	orders := layers.Plan(model, engines, false)
 	assert.Equal(t, len(orders), 1)
 	assert.Equal(t, orders[0].Engine, "new")
 }
@@ -145,7 +162,7 @@
 			default:
 				engines[i].Settled = !engines[i].Settled
 			}
-			orders := layers.Plan(model, engines)
+			orders := layers.Plan(model, engines, false)
 			for _, o := range orders {
 				for _, e := range engines {
 					assert.Assert(t, e.ID != o.Engine || e.Settled, "seed %d: unsettled %v", seed, o)
--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -5,6 +5,7 @@
 	m       Model
 	engines []Engine
 	fleet   []int          // Engines of all groups that hold each layer.
+	always  bool           // Engines grow into any gap.
 	ordered map[int]string // Reason of each changed engine, by index.
 }
 
@@ -65,7 +66,7 @@
 // grow extends an engine next to the gap by one layer. While it loads, the engine's
 // requests stand still, so that this waits until few engines hold the layer.
 func (p *repair) grow(from, to int) bool {
-	if p.fleet[from] >= enoughHolders {
+	if p.fleet[from] >= enoughHolders && !p.always {
 		return false
 	}
 	best, bestRoom := -1, float64(leastTokens)
