--- /dev/null
+++ b/internal/request/forward/forward_test.go
@@ -0,0 +1,452 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/request/forward"
+	"github.com/jasminecove/jasminecove/internal/request/retryshare"
+	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
+	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
+)
+
+// fixture is a forwarding VM with upstreams of its own.
+type fixture struct {
+	catalog *catalog.Catalog
+	server  *httptest.Server
+	ready   error
+}
+
+const tablesYAML = `
+routes:
+  - {name: book, match: {host: a.example, pathPrefix: /book/}, pool: desk, calls: nonIdempotent, deadline: 800ms, attempts: 1, objective: 100ms}
+  - {name: look, match: {host: a.example, pathPrefix: /look/}, pool: desk, calls: idempotent, deadline: 800ms, attempts: 2, objective: 60ms}
+  - {name: open, match: {host: a.example, pathPrefix: /open/}, pool: desk, calls: idempotent, deadline: 800ms, anonymous: true}
+  - {name: draft, match: {host: a.example, pathPrefix: /draft/}, pool: crew, calls: idempotent, deadline: 5s, attempts: 2, objective: 500ms, events: {resumable: true, maxGap: 200ms}}
+  - {name: once, match: {host: a.example, pathPrefix: /once/}, pool: crew, calls: nonIdempotent, deadline: 5s, attempts: 2, objective: 500ms, events: {}}
+pools:
+  - {name: desk, service: desk}
+  - name: crew
+    service: crew
+    engine: {layers: 8, layerMB: 100, cacheBytes: 1000, slots: 50, stepMs: 1, readTokensPerMs: 100, eventTokens: 1, usualPrompt: 10, usualAnswer: 10, kinds: [{name: card, memoryMB: 1000, stepFactor: 1, readFactor: 1}]}
+organisations:
+  - {name: north, keys: [k1]}
+`
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	clk := clock.NewSystem()
+	f := &fixture{catalog: catalog.New("vm", clk, clock.Minute, nil)}
+	doc, err := tables.Parse([]byte(tablesYAML))
+	assert.NilError(t, err)
+	f.catalog.SetTables(doc)
+	h := forward.New(forward.Config{
+		Dialect: forward.Own(), DataCentre: "a", Clock: clk, Source: rng.New(1), Catalog: f.catalog, Pool: call.NewPool(),
+		Retries: retryshare.Limits{Ratio: 0.2, Allowance: 1000, Window: 10 * clock.Second},
+		VMs:     func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return false },
+		Metrics: tally.NoopScope,
+	})
+	f.server = httptest.NewServer(h)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+// upstream is a scripted server: serve answers one request on its connection and
+// reports whether the connection goes on.
+type upstream struct {
+	id      string
+	address string
+	mu      sync.Mutex
+	got     []string // Heads and bodies of the requests that it ran.
+	closed  chan struct{}
+}
+
+func (u *upstream) runs() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.got)
+}
+
+// start announces an upstream that serves by a script.
+func (f *fixture) start(t *testing.T, id, service string, from, to uint32, serve func(u *upstream, c net.Conn, r *http.Request)) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{id: id, address: l.Addr().String(), closed: make(chan struct{}, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.connection(c, serve)
+		}
+	}()
+	f.announce(u, service, from, to)
+	return u
+}
+
+func (f *fixture) announce(u *upstream, service string, from, to uint32) {
+	f.catalog.Announce(&upstreampb.Announcement{
+		Id: u.id, Kind: "service", Name: service, Address: u.address, LeaseMs: 60_000, Sequence: 1, StartedMs: 1, DataCentre: "a",
+		Accelerator: "card", LayerFrom: from, LayerTo: to, Slots: 10,
+	})
+}
+
+func (u *upstream) connection(c net.Conn, serve func(u *upstream, c net.Conn, r *http.Request)) {
+	defer func() {
+		_ = c.Close()
+		u.closed <- struct{}{}
+	}()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.got = append(u.got, fmt.Sprintf("%s %s %v %s", r.Method, r.RequestURI, r.Header, body))
+		u.mu.Unlock()
+		serve(u, c, r)
+	}
+}
+
+func answer(c net.Conn, r *http.Request, status int, extra, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\nJasminecove-Request-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, r.Header.Get("Jasminecove-Request-Id"), len(body), extra, body)
+}
+
+const integrity = "Jasminecove-Integrity: seal\r\n"
+
+func well(_ *upstream, c net.Conn, r *http.Request) {
+	answer(c, r, 200, integrity+"X-Own: 1\r\n", "body of "+r.URL.Path)
+}
+
+func reset(_ *upstream, c net.Conn, _ *http.Request) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func notRun(_ *upstream, c net.Conn, r *http.Request) {
+	answer(c, r, 503, "Jasminecove-Not-Run: 1\r\n", "")
+}
+
+func silent(_ *upstream, _ net.Conn, _ *http.Request) {}
+
+// do sends a request with a key.
+func (f *fixture) do(t *testing.T, method, path, body string, header ...string) (response, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, f.server.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Host = "a.example"
+	r.Header.Set("Authorization", "Bearer k1")
+	r.Header.Set("Jasminecove-Request-Id", "id-1")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return response{}, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return response{StatusCode: resp.StatusCode, Header: resp.Header}, string(data), err
+}
+
+// response is the head of an answer.
+type response struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	f := newFixture(t)
+	u := f.start(t, "u1", "desk", 0, 0, func(_ *upstream, c net.Conn, r *http.Request) {
+		answer(c, r, 418, integrity+"X-Own: a\r\nX-Own: b\r\n", "tea\x00pot")
+	})
+	resp, body, err := f.do(t, "PUT", "/book/a%2Fb//c?x=1&y=%20", "b\x01dy", "X-Mine", "v", "Jasminecove-Organisation", "forged", "Jasminecove-Upstream", "forged", "Jasminecove-Deadline-Ms", "500")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 418)
+	assert.Equal(t, body, "tea\x00pot")
+	assert.DeepEqual(t, resp.Header["X-Own"], []string{"a", "b"})
+	assert.Equal(t, resp.Header.Get("Jasminecove-Integrity"), "seal")
+	assert.Equal(t, u.runs(), 1)
+	got := u.got[0]
+	assert.Assert(t, strings.HasPrefix(got, "PUT /book/a%2Fb//c?x=1&y=%20 "), got)
+	assert.Assert(t, strings.HasSuffix(got, " b\x01dy"), got)
+	for _, want := range []string{"X-Mine:[v]", "Jasminecove-Organisation:[north]", "Jasminecove-Upstream:[u1]", "Jasminecove-Request-Id:[id-1]"} {
+		assert.Assert(t, strings.Contains(got, want), "%s lacks %s", got, want)
+	}
+	assert.Assert(t, !strings.Contains(got, "k1") && !strings.Contains(got, "forged"), got)
+	var left int
+	_, err = fmt.Sscanf(got[strings.Index(got, "Deadline-Ms:[")+len("Deadline-Ms:["):], "%d", &left)
+	assert.NilError(t, err)
+	assert.Assert(t, left > 300 && left <= 500, "%d ms left", left)
+}
+
+// TestNonIdempotentCallRunsAtMostOnce lets upstreams fail in each way.
+func TestNonIdempotentCallRunsAtMostOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		serve  func(*upstream, net.Conn, *http.Request)
+		status int
+		runs   int
+	}{
+		"reset after it was sent":   {reset, 502, 1},
+		"silence":                   {silent, 504, 1},
+		"refused unrun by all":      {notRun, 503, 2},
+		"an answer that is no HTTP": {func(_ *upstream, c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n") }, 502, 1},
+		"no integrity header":       {func(_ *upstream, c net.Conn, r *http.Request) { answer(c, r, 200, "", "forged") }, 502, 1},
+		"a body cut short": {func(_ *upstream, c net.Conn, _ *http.Request) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nJasminecove-Request-Id: id-1\r\n%sContent-Length: 50\r\n\r\nhalf", integrity)
+			_ = c.Close()
+		}, 502, 1},
+		"its own failure": {func(_ *upstream, c net.Conn, r *http.Request) { answer(c, r, 500, integrity, "no") }, 500, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			u1, u2 := f.start(t, "u1", "desk", 0, 0, c.serve), f.start(t, "u2", "desk", 0, 0, c.serve)
+			resp, _, err := f.do(t, "POST", "/book/1", "x")
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, c.status)
+			assert.Equal(t, u1.runs()+u2.runs(), c.runs)
+			if c.status == 503 {
+				assert.Assert(t, resp.Header.Get("Retry-After") != "")
+			}
+			if c.status >= 502 {
+				assert.Equal(t, resp.Header.Get("Jasminecove-Integrity"), "")
+			}
+		})
+	}
+}
+
+func TestUnreachableAndUnwillingUpstreamsArePassedOver(t *testing.T) {
+	f := newFixture(t)
+	f.announce(&upstream{id: "u0", address: "127.0.0.1:1"}, "desk", 0, 0)
+	f.start(t, "u1", "desk", 0, 0, notRun)
+	u2 := f.start(t, "u2", "desk", 0, 0, well)
+	for range 5 {
+		resp, body, err := f.do(t, "POST", "/book/7", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 200)
+		assert.Equal(t, body, "body of /book/7")
+	}
+	assert.Equal(t, u2.runs(), 5)
+}
+
+func TestLostAnswerOfAnIdempotentCallIsAskedForElsewhere(t *testing.T) {
+	for name, serve := range map[string]func(*upstream, net.Conn, *http.Request){"reset": reset, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.start(t, "u1", "desk", 0, 0, serve)
+			f.start(t, "u2", "desk", 0, 0, well)
+			for range 4 {
+				resp, _, err := f.do(t, "GET", "/look/7", "")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 200)
+			}
+		})
+	}
+}
+
+func TestUnknownPlacesAndKeysAreRefusedAndNothingRuns(t *testing.T) {
+	f := newFixture(t)
+	u := f.start(t, "u1", "desk", 0, 0, well)
+	for path, want := range map[string]int{"/nowhere/": 404, "/book": 404} {
+		resp, _, err := f.do(t, "GET", path, "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, want)
+	}
+	resp, _, err := f.do(t, "GET", "/look/1", "", "Authorization", "Bearer other")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 401)
+	assert.Equal(t, u.runs(), 0)
+	resp, _, err = f.do(t, "GET", "/open/1", "", "Authorization", "Bearer other")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+}
+
+func TestVMThatDoesNotKnowTheTablesRefusesAndSaysWhenToComeBack(t *testing.T) {
+	f := newFixture(t)
+	f.ready = io.ErrNoProgress
+	resp, _, err := f.do(t, "GET", "/nowhere/", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+}
+
+// events answers with the numbered events that the request still needs, up to last.
+// stop ends it after so many, within an event; 0 never does.
+func events(last, stop int) func(*upstream, net.Conn, *http.Request) {
+	return func(u *upstream, c net.Conn, r *http.Request) {
+		from := 0
+		_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &from)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: %s\r\n%sX-By: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Jasminecove-Request-Id"), integrity, u.id)
+		for i := from + 1; i <= last; i++ {
+			event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
+			if stop > 0 && i == from+stop {
+				_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", 5, event[:5])
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+				return
+			}
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+}
+
+func wantEvents(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: t%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// TestStreamGoesOnAfterAnEngineBroke breaks the first run within an event.
+func TestStreamGoesOnAfterAnEngineBroke(t *testing.T) {
+	f := newFixture(t)
+	f.start(t, "e1", "crew", 0, 8, events(30, 11))
+	f.start(t, "e2", "crew", 0, 8, events(30, 0))
+	for range 4 {
+		resp, body, err := f.do(t, "POST", "/draft/1", "prompt", "Jasminecove-Tokens", "10,30")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 200)
+		assert.Equal(t, body, wantEvents(1, 30))
+		assert.Equal(t, len(resp.Header["X-By"]), 1)
+	}
+}
+
+func TestBrokenStreamThatMayNotBeResumedNeverLooksWhole(t *testing.T) {
+	f := newFixture(t)
+	e1, e2 := f.start(t, "e1", "crew", 0, 8, events(30, 11)), f.start(t, "e2", "crew", 0, 8, events(30, 11))
+	_, body, err := f.do(t, "POST", "/once/1", "prompt")
+	assert.Assert(t, err != nil, "a cut stream looks whole: %q", body)
+	assert.Assert(t, strings.HasPrefix(wantEvents(1, 30), body))
+	assert.Equal(t, e1.runs()+e2.runs(), 1)
+}
+
+func TestCallerMayResumeAfterTheLastEvent(t *testing.T) {
+	f := newFixture(t)
+	f.start(t, "e1", "crew", 0, 8, events(30, 0))
+	for _, after := range []int{20, 30} {
+		resp, body, err := f.do(t, "POST", "/draft/1", "prompt", "Last-Event-Id", fmt.Sprint(after))
+		assert.NilError(t, err)
+		assert.Equal(t, body, wantEvents(after+1, 30))
+		assert.Equal(t, resp.Header.Get("Jasminecove-Integrity"), "seal")
+	}
+}
+
+// TestPathRunsEveryLayerAndAvoidsAnEngineThatWasFoundDead cuts the model in two.
+func TestPathRunsEveryLayerAndAvoidsAnEngineThatWasFoundDead(t *testing.T) {
+	f := newFixture(t)
+	first := f.start(t, "e1", "crew", 0, 4, events(3, 0))
+	second := f.start(t, "e2", "crew", 4, 8, events(3, 0))
+	other := f.start(t, "e3", "crew", 4, 8, events(3, 0))
+	path := func() string {
+		_, _, err := f.do(t, "POST", "/draft/1", "prompt")
+		assert.NilError(t, err)
+		got := first.got[first.runs()-1]
+		got = got[strings.Index(got, "Jasminecove-Path:[")+len("Jasminecove-Path:["):]
+		return got[:strings.IndexByte(got, ']')]
+	}
+	a, b := first.address+"=0-4,"+second.address+"=4-8", first.address+"=0-4,"+other.address+"=4-8"
+	got := path()
+	assert.Assert(t, got == a || got == b, got)
+	f.catalog.Dead("e2", true)
+	assert.Equal(t, path(), b)
+}
+
+// TestDeadEngineMovesItsStreamsAtOnce finds a later engine of the path dead while the
+// first one waits for it.
+func TestDeadEngineMovesItsStreamsAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.start(t, "e1", "crew", 0, 4, func(_ *upstream, c net.Conn, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: id-1\r\n%sTransfer-Encoding: chunked\r\n\r\n", integrity)
+		event := wantEvents(1, 1)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+	})
+	f.start(t, "e2", "crew", 4, 8, silent)
+	time.AfterFunc(50*time.Millisecond, func() {
+		f.start(t, "e3", "crew", 0, 8, events(5, 0))
+		f.catalog.Dead("e2", true)
+	})
+	began := time.Now()
+	_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, wantEvents(1, 5))
+	assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
+}
+
+// TestCallerThatLeavesFreesTheUpstream goes away before and in the middle of an answer.
+func TestCallerThatLeavesFreesTheUpstream(t *testing.T) {
+	f := newFixture(t)
+	desk := f.start(t, "u1", "desk", 0, 0, silent)
+	crew := f.start(t, "e1", "crew", 0, 8, events(100_000, 0))
+	for path, u := range map[string]*upstream{"/look/1": desk, "/draft/1": crew} {
+		ctx, cancel := context.WithCancel(t.Context())
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.server.URL+path, nil)
+		assert.NilError(t, err)
+		r.Host = "a.example"
+		r.Header.Set("Authorization", "Bearer k1")
+		time.AfterFunc(30*time.Millisecond, cancel)
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		select {
+		case <-u.closed:
+		case <-time.After(500 * time.Millisecond):
+			t.Fatalf("%s: the upstream still works for a caller that left", path)
+		}
+	}
+}
+
+func TestRouteTimeLimitIsAnsweredOnTime(t *testing.T) {
+	f := newFixture(t)
+	f.start(t, "u1", "desk", 0, 0, silent)
+	began := time.Now()
+	resp, _, err := f.do(t, "POST", "/book/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 504)
+	took := time.Since(began)
+	assert.Assert(t, took >= 800*time.Millisecond && took < 1300*time.Millisecond, "%s", took)
+}
+
+// TestFullPoolIsRefusedWithinTheObjective fills the only engine's memory.
+func TestFullPoolIsRefusedWithinTheObjective(t *testing.T) {
+	f := newFixture(t)
+	e := f.start(t, "e1", "crew", 0, 8, events(3, 0))
+	began := time.Now()
+	resp, _, err := f.do(t, "POST", "/draft/1", "prompt", "Jasminecove-Tokens", "9000000,10")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond, "%s", time.Since(began))
+	assert.Equal(t, e.runs(), 0)
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -123,14 +123,14 @@
 		case end.ours || ctx.Err() != nil:
 			return s.give(end.cause)
 		}
-		if err := s.again(t, end); err != nil {
+		if err := s.again(end); err != nil {
 			return s.give(errors.Join(err, end.cause))
 		}
 	}
 }
 
 // again decides whether a request whose run ended early is sent once more.
-func (s *stream) again(t target, end runEnd) error {
+func (s *stream) again(end runEnd) error {
 	route := s.x.Forward.Route
 	if end.notRun {
 		s.refused++
@@ -241,7 +241,7 @@
 	if a.Status >= http.StatusMultipleChoices || a.Header.Get(d.Integrity) == "" {
 		return s.failure(ctx, a)
 	}
-	return s.relay(ctx, a, t, stall)
+	return s.relay(ctx, a, stall)
 }
 
 // reason returns why a run was ended, when this side ended it.
@@ -272,7 +272,7 @@
 }
 
 // relay passes whole events on as they arrive.
-func (s *stream) relay(ctx context.Context, a *call.Answer, t target, stall *stall) runEnd {
+func (s *stream) relay(ctx context.Context, a *call.Answer, stall *stall) runEnd {
 	split := eventstream.After(s.last)
 	buf := make([]byte, 4<<10)
 	var out []byte
--- /dev/null
+++ b/internal/routing/catalog/catalog_test.go
@@ -0,0 +1,259 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
+)
+
+var crew = &tables.Pool{Name: "crew", Service: "crew", Engine: &tables.Engine{
+	Layers: 8, LayerMB: 100, CacheBytes: 8_000, Slots: 500, StepMs: 1, ReadTokensPerMs: 100,
+	ActivationBytes: 10_000, PipeMbps: 80, Kinds: []tables.Accelerator{{Name: "card", MemoryMB: 1000, StepFactor: 1, ReadFactor: 1}},
+}}
+
+var desk = &tables.Pool{Name: "desk", Service: "desk"}
+
+// fleet is a few VMs whose catalogs tell each other at once.
+type fleet struct {
+	clock    *clock.Manual
+	catalogs []*catalog.Catalog
+	changes  []catalog.Change // Of the first VM.
+}
+
+func newFleet(vms int) *fleet {
+	f := &fleet{clock: clock.NewManual(1_000_000)}
+	for i := range vms {
+		f.catalogs = append(f.catalogs, catalog.New(string(rune('a'+i)), f.clock, 4*clock.Second, func(c catalog.Change) {
+			if i == 0 {
+				f.changes = append(f.changes, c)
+			}
+			for k, other := range f.catalogs {
+				if k != i {
+					other.TakeDigests(c.Digests)
+				}
+			}
+		}))
+	}
+	return f
+}
+
+func (f *fleet) share() {
+	for i, c := range f.catalogs {
+		o := c.Occupancy()
+		o.Boot, o.Sequence = 1, uint64(f.clock.Now())
+		for k, other := range f.catalogs {
+			if k != i {
+				other.TakeOccupancy(string(rune('a'+i)), o)
+			}
+		}
+	}
+}
+
+func said(id, service, dc string, started, sequence uint64, from, to uint32) *upstreampb.Announcement {
+	return &upstreampb.Announcement{
+		Id: id, Name: service, Address: id + ":1", DataCentre: dc, StartedMs: started, Sequence: sequence, LeaseMs: 60_000,
+		Accelerator: "card", LayerFrom: from, LayerTo: to, Slots: 4,
+	}
+}
+
+func TestReportsAreOrderedByStartThenSequence(t *testing.T) {
+	f := newFleet(2)
+	c, other := f.catalogs[0], f.catalogs[1]
+	c.Announce(said("u", "desk", "x", 100, 9, 0, 0))
+	leaving := said("u", "desk", "x", 100, 8, 0, 0)
+	leaving.Leaving = true
+	c.Announce(leaving)
+	u, ok := other.Upstream("u")
+	assert.Assert(t, ok && !u.Leaving, "a late report counted")
+	c.Announce(said("u", "desk", "x", 200, 1, 0, 0))
+	c.Announce(said("u", "desk", "x", 100, 50, 0, 0))
+	u, ok = other.Upstream("u")
+	assert.Assert(t, ok)
+	assert.Equal(t, u.StartedMs, uint64(200))
+}
+
+func TestEndedUpstreamStaysAwayUntilItStartsAgain(t *testing.T) {
+	f := newFleet(2)
+	c, other := f.catalogs[0], f.catalogs[1]
+	c.Announce(said("u", "desk", "x", 100, 5, 0, 0))
+	other.End("u")
+	c.Announce(said("u", "desk", "x", 100, 6, 0, 0)) // Was under way.
+	for _, x := range f.catalogs {
+		_, err := x.Pick(desk, "x", nil)
+		assert.Equal(t, err, catalog.ErrNone)
+	}
+	c.Announce(said("u", "desk", "x", 300, 1, 0, 0))
+	_, err := other.Pick(desk, "x", nil)
+	assert.NilError(t, err)
+}
+
+func TestSilentUpstreamEndsButNotWhenThisVMStoodStill(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	c.Announce(said("u", "desk", "x", 100, 5, 0, 0))
+	c.Tick()
+	f.clock.Advance(10 * clock.Second) // Nothing ran meanwhile.
+	c.Tick()
+	_, ok := c.Upstream("u")
+	assert.Assert(t, ok, "a VM that stood still ended an upstream")
+	for range 50 {
+		f.clock.Advance(100)
+		c.Tick()
+	}
+	_, ok = c.Upstream("u")
+	assert.Assert(t, !ok)
+}
+
+func TestFailedUpstreamIsPausedAndTriedAgain(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	c.Announce(said("u1", "desk", "x", 1, 1, 0, 0))
+	c.Announce(said("u2", "desk", "y", 1, 1, 0, 0))
+	c.Unreachable("u1")
+	for range 5 {
+		u, err := c.Pick(desk, "x", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, u.ID, "u2")
+	}
+	f.clock.Advance(300)
+	u, err := c.Pick(desk, "x", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, u.ID, "u1")
+	c.Unreachable("u2")
+	c.Unreachable("u1")
+	_, err = c.Pick(desk, "x", nil)
+	assert.NilError(t, err, "a paused upstream is better than none")
+}
+
+// TestOneLostPacketIsNoDeath fails several requests at one moment.
+func TestOneLostPacketIsNoDeath(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	c.Announce(said("e", "crew", "x", 1, 1, 0, 8))
+	for range 20 {
+		c.Unreachable("e")
+	}
+	assert.Equal(t, c.DeadFor("e"), clock.Duration(0))
+	for range 3 {
+		f.clock.Advance(clock.Second)
+		c.Unreachable("e")
+	}
+	f.clock.Advance(100)
+	assert.Assert(t, c.DeadFor("e") > 0)
+	c.Announce(said("e", "crew", "x", 1, 2, 0, 8))
+	assert.Equal(t, c.DeadFor("e"), clock.Duration(0), "it announced itself")
+}
+
+func TestDeathIsToldToOtherVMsAndThoseWhoWatch(t *testing.T) {
+	f := newFleet(2)
+	for _, id := range []string{"e1", "e2"} {
+		f.catalogs[0].Announce(said(id, "crew", "x", 1, 1, 0, 8))
+	}
+	lost := make(chan string, 2)
+	w := f.catalogs[1].Watch([]string{"e1", "e2"}, func(id string) { lost <- id })
+	defer w.Stop()
+	f.catalogs[0].Dead("e1", true)
+	f.share()
+	assert.Equal(t, <-lost, "e1")
+	p, release, err := f.catalogs[1].ChoosePath(crew, chain.Request{Prompt: 10, Answer: 10, Home: "x"})
+	assert.NilError(t, err)
+	defer release()
+	assert.Equal(t, p.Hops[0].Engine, "e2")
+}
+
+// TestVMsSpreadRequestsByWhatAllHold lets three VMs choose in turn between two engines.
+func TestVMsSpreadRequestsByWhatAllHold(t *testing.T) {
+	f := newFleet(3)
+	f.catalogs[0].Announce(said("e1", "crew", "x", 1, 1, 0, 8))
+	f.catalogs[0].Announce(said("e2", "crew", "x", 1, 1, 0, 8))
+	used := map[string]int{}
+	for i := range 60 {
+		p, _, err := f.catalogs[i%3].ChoosePath(crew, chain.Request{Prompt: 500, Answer: 100, Home: "x"})
+		assert.NilError(t, err)
+		used[p.Hops[0].Engine]++
+		f.share()
+	}
+	assert.Assert(t, used["e1"] >= 25 && used["e2"] >= 25, "%v", used)
+}
+
+func TestPipeThatIsFullIsNotTaken(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	c.Announce(said("e1", "crew", "x", 1, 1, 0, 4))
+	c.Announce(said("e2", "crew", "y", 1, 1, 4, 8))
+	taken := 0
+	for range 20 {
+		if _, _, err := c.ChoosePath(crew, chain.Request{Prompt: 50, Answer: 10, Home: "x"}); err == nil {
+			taken++
+		}
+	}
+	// A prompt takes 50 ms on the pipe, of which 250 ms may wait.
+	assert.Assert(t, taken >= 5 && taken <= 7, "%d", taken)
+	f.clock.Advance(100)
+	_, _, err := c.ChoosePath(crew, chain.Request{Prompt: 50, Answer: 10, Home: "x"})
+	assert.NilError(t, err)
+}
+
+func TestLayersThatWereFoundCountBeforeTheyAreAnnounced(t *testing.T) {
+	f := newFleet(2)
+	c, other := f.catalogs[0], f.catalogs[1]
+	c.Announce(said("e", "crew", "x", 1, 1, 0, 0))
+	u, _ := c.Upstream("e")
+	c.Placed(u, 0, 8, true)
+	f.share()
+	for _, x := range f.catalogs {
+		_, _, err := x.ChoosePath(crew, chain.Request{Prompt: 5, Answer: 5, Home: "x"})
+		assert.NilError(t, err)
+	}
+	c.Announce(said("e", "crew", "x", 2, 1, 0, 0)) // It started again, empty.
+	_, _, err := other.ChoosePath(crew, chain.Request{Prompt: 5, Answer: 5, Home: "x"})
+	assert.Equal(t, err, chain.ErrGap)
+}
+
+// TestHoldsNeverLeak takes and releases requests in a random order.
+func TestHoldsNeverLeak(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(1)
+		c := f.catalogs[0]
+		for _, id := range []string{"e1", "e2", "e3"} {
+			c.Announce(said(id, "crew", "x", 1, 1, 0, 8))
+		}
+		src := rng.New(seed)
+		var releases []func()
+		for range 500 {
+			if len(releases) > 0 && src.IntN(2) == 0 {
+				i := src.IntN(len(releases))
+				releases[i]()
+				releases = append(releases[:i], releases[i+1:]...)
+				continue
+			}
+			if _, release, err := c.ChoosePath(crew, chain.Request{Prompt: 1 + src.IntN(50), Answer: 10, Home: "x"}); err == nil {
+				releases = append(releases, release)
+			}
+		}
+		for _, r := range releases {
+			r()
+		}
+		assert.DeepEqual(t, len(c.Occupancy().Holds), 0)
+	}
+}
+
+func TestOldOccupancyIsIgnored(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	c.Announce(said("e", "crew", "x", 1, 1, 0, 8))
+	full := []*fleetpb.Hold{{Upstream: "e", Requests: 400, Tokens: 1 << 40}}
+	c.TakeOccupancy("b", &fleetpb.Occupancy{Boot: 2, Sequence: 5})
+	c.TakeOccupancy("b", &fleetpb.Occupancy{Boot: 2, Sequence: 4, Holds: full})
+	c.TakeOccupancy("b", &fleetpb.Occupancy{Boot: 1, Sequence: 9, Holds: full})
+	_, _, err := c.ChoosePath(crew, chain.Request{Prompt: 5, Answer: 5, Home: "x"})
+	assert.NilError(t, err)
+}
--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -75,7 +75,6 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	idle    time.Time
 	expires time.Time // When the upstream may close it.
 }
 
@@ -120,7 +119,7 @@
 			wrote <- err
 		}()
 	}
-	resp, err := readHead(c, r)
+	resp, err := readHead(c, r) //nolint:bodyclose // Answer.Close ends or keeps the connection.
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
