Explain a request from the log files of VMs

Cause: explain asked running VMs only; on call there are only logs. Change: explain -logs merges the decisions of several VMs, adds what befell the upstreams of the request, and ends with the cause.

--- a/internal/cli/command/read.go
+++ b/internal/cli/command/read.go
@@ -4,10 +4,14 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
+	"os"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jasminecove/jasminecove/internal/cli/logstory"
 	"github.com/jasminecove/jasminecove/internal/cli/operator"
 )
 
@@ -79,12 +83,19 @@
 }
 
 func explainCommand(streams Streams) *ffcli.Command {
-	return reader{
-		name: "explain", usage: "jasminecove explain REQUEST-ID", short: "tell what became of a request",
-		long: `Asks all VMs. Each remembers its newest 4096 requests.
+	var logs string
+	c := reader{
+		name: "explain", usage: "jasminecove explain [-logs FILE,FILE] REQUEST-ID", short: "tell what became of a request",
+		long: `Asks all VMs. Each remembers its newest 4096 requests. With -logs it reads the
+decisions that VMs wrote instead, merges them by the VMs' clocks and ends with the
+cause; - stands for standard input.
 
-Example:
-  jasminecove explain 4a29ce512e9484d3928d0dfa`,
+Examples:
+  jasminecove explain 4a29ce512e9484d3928d0dfa
+  jasminecove explain -logs vm-01.log,vm-02.log 4a29ce512e9484d3928d0dfa`,
+		register: func(fs *flag.FlagSet) {
+			fs.StringVar(&logs, "logs", "", "log files of VMs, with commas between")
+		},
 		read: func(ctx context.Context, c *operator.Client, args []string) (any, func(), error) {
 			if len(args) != 1 {
 				return nil, nil, usage("give one request id")
@@ -93,6 +104,47 @@
 			return a, func() { printAccount(streams.Out, a) }, called(err)
 		},
 	}.command(streams)
+	ask := c.Exec
+	c.Exec = func(ctx context.Context, args []string) error {
+		if logs == "" {
+			return ask(ctx, args)
+		}
+		if len(args) != 1 {
+			return usage("give one request id")
+		}
+		return explainLogs(streams, strings.Split(logs, ","), args[0])
+	}
+	return c
+}
+
+// explainLogs prints a request's story from log files.
+func explainLogs(streams Streams, files []string, id string) error {
+	var in []io.Reader
+	for _, name := range files {
+		if name == "-" {
+			in = append(in, os.Stdin)
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return exit(ExitInvalid, fmt.Errorf("open log: %w", err))
+		}
+		defer func() { _ = f.Close() }()
+		in = append(in, f)
+	}
+	lines, err := logstory.Read(in...)
+	if err != nil {
+		return exit(ExitInvalid, err)
+	}
+	story, err := logstory.Story(lines, id)
+	if err != nil {
+		return err
+	}
+	for _, l := range story {
+		fmt.Fprintln(streams.Out, l)
+	}
+	fmt.Fprintln(streams.Out, logstory.Cause(story, id))
+	return nil
 }
 
 func statusCommand(streams Streams) *ffcli.Command {
--- /dev/null
+++ b/internal/cli/logstory/logstory.go
@@ -0,0 +1,188 @@
+// Package logstory tells the story of a request from the log lines of VMs: every
+// decision that names the request, and those about the upstreams that it was sent to
+// at that time, merged by time, with the cause in one last line.
+package logstory
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/fault"
+)
+
+// ErrUnknown reports that no line names the request.
+const ErrUnknown = fault.Sentinel("logstory: no line names the request")
+
+// around is how long before and after its own lines what befell a request's upstreams
+// belongs to its story.
+const around = 3 * time.Second
+
+// maxLine bounds a log line in bytes.
+const maxLine = 1 << 20
+
+// Keys of a log line that are not inputs of the decision.
+const (
+	keyMessage = "@message"
+	keyModule  = "@module"
+	keyTime    = "@timestamp"
+	keyLevel   = "@level"
+	keyID      = "id"
+)
+
+// Line is one decision.
+type Line struct {
+	At       time.Time
+	VM       string
+	Decision string
+	ID       string
+	Inputs   map[string]any
+}
+
+// Read returns the decisions in a log, sorted by time as the VMs' clocks tell it. Text
+// before a line's JSON is skipped; lines without JSON are too.
+func Read(in ...io.Reader) ([]Line, error) {
+	var lines []Line
+	for _, r := range in {
+		s := bufio.NewScanner(r)
+		s.Buffer(nil, maxLine)
+		for s.Scan() {
+			if l, ok := parse(s.Bytes()); ok {
+				lines = append(lines, l)
+			}
+		}
+		if err := s.Err(); err != nil {
+			return nil, fmt.Errorf("read log: %w", err)
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	return lines, nil
+}
+
+func parse(text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var m map[string]any
+	if json.Unmarshal(text[at:], &m) != nil {
+		return Line{}, false
+	}
+	l := Line{Inputs: m}
+	l.Decision, _ = m[keyMessage].(string)
+	l.VM, _ = m[keyModule].(string)
+	l.ID, _ = m[keyID].(string)
+	stamp, _ := m[keyTime].(string)
+	var err error
+	l.At, err = time.Parse(time.RFC3339Nano, stamp)
+	for _, k := range []string{keyMessage, keyModule, keyTime, keyLevel, keyID} {
+		delete(m, k)
+	}
+	return l, err == nil && l.Decision != ""
+}
+
+// Story returns the decisions about a request and, around them, about the upstreams
+// that it names.
+func Story(lines []Line, id string) ([]Line, error) {
+	var own []Line
+	upstreams := map[string]bool{}
+	for _, l := range lines {
+		if l.ID == id {
+			own = append(own, l)
+			upstreams[l.text("upstream")] = true
+		}
+	}
+	if len(own) == 0 {
+		return nil, fmt.Errorf("%w: %s", ErrUnknown, id)
+	}
+	delete(upstreams, "")
+	first, last := own[0].began().Add(-around), own[len(own)-1].At.Add(around)
+	var story []Line
+	for _, l := range lines {
+		near := l.At.After(first) && l.At.Before(last)
+		if l.ID == id || near && (upstreams[l.ID] || upstreams[l.text("reportedBy")]) {
+			story = append(story, l)
+		}
+	}
+	return story, nil
+}
+
+// began returns when the request of a line arrived.
+func (l Line) began() time.Time {
+	for _, key := range []string{"tookMs", "atMs"} {
+		if ms, ok := l.Inputs[key].(float64); ok {
+			return l.At.Add(-time.Duration(ms * float64(time.Millisecond)))
+		}
+	}
+	return l.At
+}
+
+func (l Line) text(key string) string {
+	s, _ := l.Inputs[key].(string)
+	return s
+}
+
+// String formats a line with its inputs in a fixed order.
+func (l Line) String() string {
+	keys := make([]string, 0, len(l.Inputs))
+	for k := range l.Inputs {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s  %-20s %-18s %s", l.At.Format("15:04:05.000"), l.VM, l.Decision, l.ID)
+	for _, k := range keys {
+		fmt.Fprintf(&b, " %s=%v", k, oneLine(l.Inputs[k]))
+	}
+	return b.String()
+}
+
+func oneLine(v any) any {
+	if s, ok := v.(string); ok {
+		return fmt.Sprintf("%q", s)
+	}
+	return v
+}
+
+// Cause returns the cause of a request's end in one line.
+func Cause(story []Line, id string) string {
+	end := Line{}
+	var runs []string
+	for _, l := range story {
+		switch {
+		case l.ID == id && (l.Decision == "answered" || l.Decision == "failed"):
+			end = l
+		case l.ID == id && l.text("cause") != "":
+			runs = append(runs, l.text("upstream")+": "+l.text("cause"))
+		case l.ID == id && l.text("error") != "":
+			runs = append(runs, l.text("upstream")+": "+l.text("error"))
+		case l.Decision == "upstreamSuspected":
+			runs = append(runs, l.ID+" was found dead: "+l.text("reason"))
+		}
+	}
+	slices.Sort(runs)
+	runs = slices.Compact(runs)
+	if end.Decision == "" {
+		return "cause: the VM ended before the request did"
+	}
+	if end.Decision == "answered" {
+		text := fmt.Sprintf("cause: answered with %v after %v ms", end.Inputs["status"], end.Inputs["tookMs"])
+		if len(runs) > 0 {
+			text += ", late because of " + strings.Join(runs, "; ")
+		}
+		return text
+	}
+	text := fmt.Sprintf("cause: %s (%s)", strings.ReplaceAll(end.text("cause"), "\n", "; "), end.text("outcome"))
+	if end.Inputs["callerLeft"] == true {
+		text = fmt.Sprintf("cause: the caller left after %v ms", end.Inputs["tookMs"])
+	}
+	if len(runs) > 0 {
+		text += " after " + strings.Join(runs, "; ")
+	}
+	return text
+}
