Tell a lost answer from a dead engine

Found from the logs: 'engine on the path was found dead' 140 times in one second without a suspicion reported by another engine, beside 'connection reset by peer' at two engines. Change: only connections that cannot be opened count towards death; a broken run or a lost answer is a fault of its upstream; each death has a line in the log. Test failing before: TestRunsThatBreakLeaveTheOtherStreamsOfTheirEngineAlone.

--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -334,6 +334,9 @@
 	for _, id := range c.Ended {
 		r.log.Decision("upstreamEnded", id)
 	}
+	for _, id := range c.Dead {
+		r.log.Decision("upstreamDead", id)
+	}
 	if len(c.Digests) > 0 {
 		r.plane.TellDigests(c.Digests)
 	}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -341,6 +342,34 @@
 	}
 }
 
+// TestRunsThatBreakLeaveTheOtherStreamsOfTheirEngineAlone breaks a third of the runs of
+// the only engine. The others are not moved.
+func TestRunsThatBreakLeaveTheOtherStreamsOfTheirEngineAlone(t *testing.T) {
+	f := newFixture(t)
+	var n atomic.Int64
+	e := f.start(t, "e1", "crew", 0, 8, func(u *upstream, c net.Conn, r *http.Request) {
+		if n.Add(1)%3 == 0 {
+			reset(u, c, r)
+			return
+		}
+		events(300, 0)(u, c, r)
+	})
+	var callers sync.WaitGroup
+	for range 30 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+			assert.Check(t, err)
+			assert.Check(t, body == wantEvents(1, 300))
+		}()
+		time.Sleep(20 * time.Millisecond)
+	}
+	callers.Wait()
+	assert.Equal(t, f.catalog.DeadFor("e1"), clock.Duration(0))
+	assert.Assert(t, e.runs() <= 30*3/2+5, "%d runs of 30 streams", e.runs())
+}
+
 func TestBrokenStreamThatMayNotBeResumedNeverLooksWhole(t *testing.T) {
 	f := newFixture(t)
 	e1, e2 := f.start(t, "e1", "crew", 0, 8, events(30, 11)), f.start(t, "e2", "crew", 0, 8, events(30, 11))
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -121,9 +121,13 @@
 func (p *plain) note(u catalog.Choice, a answer) {
 	result := strconv.Itoa(a.status)
 	switch {
-	case a.err != nil:
+	case a.err != nil && a.notRun:
 		result = a.err.Error()
 		p.h.cfg.Catalog.Unreachable(u.ID)
+	case a.err != nil:
+		// An answer that was lost is a fault of the upstream, which goes on with others.
+		result = a.err.Error()
+		p.h.cfg.Catalog.Answered(u.ID, true)
 	case a.notRun:
 		p.h.cfg.Catalog.Busy(u.ID, busyPause)
 	default:
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -379,12 +379,14 @@
 	case end.notRun && end.status != 0:
 		s.exclude[t.id] = true
 		c.Busy(t.id, busyPause)
-	case end.status != 0:
-		c.Answered(t.id, true)
+	case end.notRun:
 		s.exclude[t.id] = true
+		c.Unreachable(t.id)
 	default:
+		// A run that broke is a fault of its upstream, which goes on with others. If it
+		// is gone, the next connection tells.
 		s.exclude[t.id] = true
-		c.Unreachable(t.id)
+		c.Answered(t.id, true)
 	}
 }
 
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -26,6 +26,7 @@
 	Joined  []string
 	Leaving []string // Upstreams that began to leave.
 	Ended   []string // Upstreams that ended or fell silent.
+	Dead    []string // Upstreams that were found dead.
 }
 
 // Catalog is a VM's view of upstreams.
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -133,6 +133,20 @@
 	assert.NilError(t, err, "a paused upstream is better than none")
 }
 
+// TestLostAnswersAreNoDeath loses answers of an engine that goes on with others.
+func TestLostAnswersAreNoDeath(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	c.Announce(said("e", "crew", "x", 1, 1, 0, 8))
+	for range 30 {
+		f.clock.Advance(clock.Second)
+		c.Answered("e", true)
+		c.Unreachable("e")
+		c.Observed([]string{"e"}, 1)
+		assert.Equal(t, c.DeadFor("e"), clock.Duration(0))
+	}
+}
+
 // TestOneLostPacketIsNoDeath fails several requests at one moment.
 func TestOneLostPacketIsNoDeath(t *testing.T) {
 	f := newFleet(1)
--- a/internal/routing/catalog/health.go
+++ b/internal/routing/catalog/health.go
@@ -89,7 +89,10 @@
 func (c *Catalog) dead(id string, now clock.Time, own bool) {
 	h := c.healthOf(id)
 	if h.deadSince == 0 || now.Sub(h.deadAt) > deadLife {
-		h.deadSince = now
+		h.deadSince, h.deadAt = now, 0
+	}
+	if h.deadAt == 0 && c.watcher != nil {
+		go c.watcher(Change{Dead: []string{id}})
 	}
 	h.deadAt = now
 	if own {
@@ -146,6 +149,7 @@
 		}
 		h := c.healthOf(id)
 		was := h.dragNow(now)
+		h.failures = 0
 		h.drag = was + dragWeight*(min(mostDrag, max(0, ratio-1-dragTolerance))-was)
 		h.dragAt = now
 	}
