End an upstream whose address a later process has

Found from the logs: 'upstreamJoined' at the address named by 67 'runEnded' lines with status 421. Change: an upstream that joins ends earlier ones at its address.

--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -124,6 +124,7 @@
 		return
 	case !known:
 		change.Joined = append(change.Joined, is.Id)
+		c.supersede(is, change)
 	case was.StartedMs != is.StartedMs:
 		// What was learnt of its past says nothing of the new process.
 		delete(c.health, is.Id)
@@ -138,6 +139,18 @@
 	}
 }
 
+// supersede ends an earlier upstream at the address of one that has just joined: its
+// process is gone.
+func (c *Catalog) supersede(is *registry.Upstream, change *Change) {
+	for _, u := range c.registry.All() {
+		if u.Id != is.Id && u.Address == is.Address && u.StartedMs < is.StartedMs {
+			c.registry.End(c.clock.Now(), u.Id)
+			delete(c.health, u.Id)
+			change.Ended = append(change.Ended, u.Id)
+		}
+	}
+}
+
 // TakeDigests implements controlplane.Directory.
 func (c *Catalog) TakeDigests(digests []*fleetpb.Digest) []*fleetpb.Digest {
 	var change Change
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -95,6 +95,19 @@
 	assert.NilError(t, err)
 }
 
+// TestNewProcessAtAnAddressEndsTheOldOne starts an engine again under another id.
+func TestNewProcessAtAnAddressEndsTheOldOne(t *testing.T) {
+	f := newFleet(2)
+	f.catalogs[0].Announce(said("old", "crew", "x", 100, 5, 0, 8))
+	again := said("new", "crew", "x", 200, 1, 0, 0)
+	again.Address = "old:1"
+	f.catalogs[1].Announce(again)
+	for _, c := range f.catalogs {
+		_, ok := c.Upstream("old")
+		assert.Assert(t, !ok)
+	}
+}
+
 func TestSilentUpstreamEndsButNotWhenThisVMStoodStill(t *testing.T) {
 	f := newFleet(1)
 	c := f.catalogs[0]
