--- a/internal/node/controlplane/adopt.go
+++ b/internal/node/controlplane/adopt.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return 0, err
 	}
-	p.wantRevision(result.Revision, p.cfg.Settings.VM)
+	p.wantRevision(result.Revision, "")
 	return result.Revision, nil
 }
 
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -35,9 +35,19 @@
 	p.update(gossip.RevisionMsg{Revision: rev.Number})
 }
 
-// wantRevision notes that another VM has a newer revision in force.
+// wantRevision notes that another VM has a newer revision in force, or, without a VM,
+// that the quorum has committed it. The highest number stays wanted until it is here.
 func (p *Plane) wantRevision(number uint64, vm string) {
-	p.wanted.Store(&want{number: number, vm: vm})
+	next := &want{number: number, vm: vm}
+	for {
+		was := p.wanted.Load()
+		if was != nil && was.number >= number {
+			break
+		}
+		if p.wanted.CompareAndSwap(was, next) {
+			break
+		}
+	}
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -86,27 +96,31 @@
 	return w != nil && w.number > p.Current().GetNumber()
 }
 
-// fetch asks the VM that told of a newer revision, or the quorum when that VM
-// does not answer.
+// fetch asks the VM that told of a newer revision, or the quorum when that VM does not
+// answer with it. It reports whether the wanted revision is here.
 func (p *Plane) fetch(ctx context.Context) bool {
 	w := p.wanted.Load()
 	present := p.Current()
 	short, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	ask := &fleetpb.ReadState{Tables: true, Local: true, Have: present.GetNumber()}
-	reply, err := p.callVM(short, w.vm, &fleetpb.Call{From: p.cfg.Settings.VM, Body: &fleetpb.Call_Read{Read: ask}})
-	if err == nil {
-		if rev, ok := unfold(present, reply.GetState()); ok {
-			p.install(rev)
+	if w.vm != "" {
+		ask := &fleetpb.ReadState{Tables: true, Local: true, Have: present.GetNumber()}
+		reply, err := p.callVM(short, w.vm, &fleetpb.Call{From: p.cfg.Settings.VM, Body: &fleetpb.Call_Read{Read: ask}})
+		if err == nil {
+			if rev, ok := unfold(present, reply.GetState()); ok {
+				p.install(rev)
+			}
+		}
+		if !p.behind() {
 			return true
 		}
 	}
-	reply, err = p.client.Read(short, &fleetpb.ReadState{Tables: true})
+	reply, err := p.client.Read(short, &fleetpb.ReadState{Tables: true})
 	if err != nil || reply.GetState().GetRevision() == nil {
 		return false
 	}
 	p.install(reply.State.Revision)
-	return true
+	return !p.behind()
 }
 
 // unfold returns the revision of a notice, whose document may be a patch.
