Pass deaths and found layers on, and count silent VMs by those heard

Cause: in fleets of more than 12 VMs each hears a few others only, so that a death or a finished load reached ten of 77 VMs, and a VM's own requests were multiplied by all it did not hear. Change: what is news is passed on once; what was not heard is counted like what was.

--- a/internal/routing/catalog/health.go
+++ b/internal/routing/catalog/health.go
@@ -90,6 +90,8 @@
 	h := c.healthOf(id)
 	if h.deadSince == 0 || now.Sub(h.deadAt) > deadLife {
 		h.deadSince, h.deadAt = now, 0
+		// In a large fleet VMs hear a few others only: news is passed on once.
+		h.ownEvidence = now
 	}
 	if h.deadAt == 0 && c.watcher != nil {
 		go c.watcher(Change{Dead: []string{id}})
--- a/internal/routing/catalog/holds.go
+++ b/internal/routing/catalog/holds.go
@@ -111,9 +111,7 @@
 func (c *Catalog) held(id string, now clock.Time) hold {
 	var sum hold
 	if h := c.own[id]; h != nil {
-		// VMs that have not told yet are taken to send as much as this one.
-		silent := max(0, c.vms()-1-len(c.others))
-		sum = hold{requests: h.requests * (1 + silent), tokens: h.tokens * (1 + silent)}
+		sum = *h
 	}
 	for vm, v := range c.others {
 		if now.Sub(v.at) > holdsLife {
@@ -124,5 +122,10 @@
 		sum.requests += h.requests
 		sum.tokens += h.tokens
 	}
+	// VMs that did not tell are taken to send as much as those that did.
+	if told, all := 1+len(c.others), c.vms(); all > told {
+		sum.requests = sum.requests * all / told
+		sum.tokens = sum.tokens * all / told
+	}
 	return sum
 }
--- a/internal/routing/catalog/placed.go
+++ b/internal/routing/catalog/placed.go
@@ -15,11 +15,11 @@
 type placed struct {
 	told *fleetpb.Placed
 	at   clock.Time
-	own  bool // This VM asked the engine itself.
+	own  bool // This VM tells others.
 }
 
 // Placed notes the layers that an engine was found to hold after the announcement u.
-// own says that this VM asked the engine itself and tells the others.
+// own says that this VM tells the others.
 func (c *Catalog) Placed(u *registry.Upstream, from, to int, own bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -40,7 +40,8 @@
 	clear(c.views)
 }
 
-// takePlaced takes another VM's word on the layers of engines.
+// takePlaced takes another VM's word on the layers of engines. What is news is passed
+// on, because in a large fleet VMs hear a few others only.
 func (c *Catalog) takePlaced(all []*fleetpb.Placed) {
 	if len(all) == 0 {
 		return
@@ -48,7 +49,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range all {
-		c.place(p, false)
+		c.place(p, true)
 	}
 }
 
