Lead running requests around a dead engine

Change: where the first engine lives, it is ordered to lead the request along another path: the other engines keep what they hold, no repeat is used, and no layer runs outside the order because the path is checked before it is sent. Test: TestRunningRequestIsLedAroundADeadEngine.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -18,6 +18,7 @@
 	"github.com/jasminecove/jasminecove/internal/fleet/registry"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
 	"github.com/jasminecove/jasminecove/internal/routing/layers"
 )
 
@@ -86,6 +87,8 @@
 	Place(ctx context.Context, o Order) error
 	// Report asks for an engine's account.
 	Report(ctx context.Context, id, address string) (Report, error)
+	// Repath orders an engine to lead a running request along another path.
+	Repath(ctx context.Context, id, address, requestID string, hops []chain.Hop) error
 }
 
 // Lease tells whether this VM may give orders.
--- a/internal/node/placer/placer_test.go
+++ b/internal/node/placer/placer_test.go
@@ -13,6 +13,7 @@
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/node/placer"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
@@ -56,6 +57,9 @@
 	return placer.Report{Taken: e.taken[id], From: e.held[id][0], To: e.held[id][1]}, nil
 }
 
+// Repath implements placer.API.
+func (e *engines) Repath(context.Context, string, string, string, []chain.Hop) error { return nil }
+
 // lease is held or not.
 type lease struct{ held bool }
 
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -130,7 +130,7 @@
 	r.engines = cfg.Engines(r.pool)
 	r.handler = forward.New(forward.Config{
 		Dialect: cfg.Dialect, DataCentre: s.DataCentre, Clock: r.clock, Source: rng.New(src.Uint64()), Catalog: r.catalog, Pool: r.pool,
-		Retries: cfg.Retries, VMs: r.vms, Ready: r.known, Closing: r.draining.Load, Stalled: r.findStalled, Log: r.log, Metrics: r.tel.Metrics,
+		Retries: cfg.Retries, VMs: r.vms, Ready: r.known, Closing: r.draining.Load, Stalled: r.findStalled, Repath: r.engines.Repath, Log: r.log, Metrics: r.tel.Metrics,
 	})
 	return r, nil
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/request/retryshare"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
 
@@ -39,6 +40,9 @@
 	// Stalled is told of an engine whose request makes no progress, so that the one at
 	// fault on its path is found and told to the catalog.
 	Stalled func(ctx context.Context, engine, address string)
+	// Repath orders the first engine of a running request to lead it along another
+	// path, whose first hop is the same; nil where engines cannot.
+	Repath  func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
 	Log     *decision.Log
 	Metrics tally.Scope
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -23,12 +23,14 @@
 	"github.com/jasminecove/jasminecove/internal/request/forward"
 	"github.com/jasminecove/jasminecove/internal/request/retryshare"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
 // fixture is a forwarding VM with upstreams of its own.
 type fixture struct {
+	repath  func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
 	catalog *catalog.Catalog
 	server  *httptest.Server
 	ready   error
@@ -62,6 +64,12 @@
 		Retries: retryshare.Limits{Ratio: 0.2, Allowance: 1000, Window: 10 * clock.Second},
 		VMs:     func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return false },
 		Metrics: tally.NoopScope,
+		Repath: func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error {
+			if f.repath == nil {
+				return io.ErrNoProgress
+			}
+			return f.repath(ctx, engine, address, requestID, hops)
+		},
 	})
 	f.server = httptest.NewServer(h)
 	t.Cleanup(f.server.Close)
@@ -431,6 +439,32 @@
 	assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
 }
 
+// TestRunningRequestIsLedAroundADeadEngine finds a later engine dead. The first one goes
+// on with the request along another path, and no second run begins.
+func TestRunningRequestIsLedAroundADeadEngine(t *testing.T) {
+	f := newFixture(t)
+	led := make(chan []chain.Hop, 1)
+	first := f.start(t, "e1", "crew", 0, 4, func(_ *upstream, c net.Conn, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: id-1\r\n%sContent-Length: %d\r\n\r\n%s", integrity, len(wantEvents(1, 5)), wantEvents(1, 2))
+		f.start(t, "e3", "crew", 4, 8, silent)
+		f.catalog.Dead("e2", true)
+		hops := <-led
+		assert.Check(t, chain.Path{Hops: hops}.Whole(8))
+		assert.Check(t, hops[1].Engine == "e3")
+		_, _ = io.WriteString(c, wantEvents(3, 5))
+	})
+	f.start(t, "e2", "crew", 4, 8, silent)
+	f.repath = func(_ context.Context, engine, _, requestID string, hops []chain.Hop) error {
+		assert.Check(t, engine == "e1" && requestID == "id-1")
+		led <- hops
+		return nil
+	}
+	_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, wantEvents(1, 5))
+	assert.Equal(t, first.runs(), 1)
+}
+
 // TestCallerThatLeavesFreesTheUpstream goes away before and in the middle of an answer.
 func TestCallerThatLeavesFreesTheUpstream(t *testing.T) {
 	f := newFixture(t)
--- a/internal/request/forward/stall.go
+++ b/internal/request/forward/stall.go
@@ -11,7 +11,7 @@
 // fault, the run is ended at the patience of callers.
 type stall struct {
 	s      *stream
-	t      target
+	t      *target
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
@@ -27,9 +27,9 @@
 // observeEvery is how many events make one observation of a path's pace.
 const observeEvery = 8
 
-func (s *stream) newStall(ctx context.Context, t target, cancel context.CancelCauseFunc) *stall {
+func (s *stream) newStall(ctx context.Context, t *target, cancel context.CancelCauseFunc) *stall {
 	w := &stall{s: s, t: t, ctx: ctx, cancel: cancel, moved: time.Now()}
-	w.wait = firstFactor*milliseconds64(t.path.FirstMs) + askSlack
+	w.wait = firstFactor*milliseconds64(t.now().FirstMs) + askSlack
 	w.timer = time.AfterFunc(w.wait, w.due)
 	return w
 }
@@ -54,7 +54,7 @@
 		w.events, w.since = 0, now
 	}
 	w.mu.Unlock()
-	if ratio > 0 && len(w.t.path.Hops) > 0 {
+	if ratio > 0 && len(w.t.now().Hops) > 0 {
 		w.s.h.cfg.Catalog.Observed(w.t.engines(), ratio)
 	}
 }
@@ -65,7 +65,7 @@
 	if e := w.s.x.Forward.Pool.Engine; e != nil {
 		tokens = max(1, e.EventTokens)
 	}
-	return float64(tokens) * w.t.path.TokenMs
+	return float64(tokens) * w.t.now().TokenMs
 }
 
 // due runs when the run may have paused for too long.
@@ -80,7 +80,7 @@
 	case paused >= patience:
 		w.cancel(errStalled)
 		return
-	case paused >= wait && w.s.h.cfg.Stalled != nil && len(w.t.path.Hops) > 0:
+	case paused >= wait && w.s.h.cfg.Stalled != nil && len(w.t.now().Hops) > 0:
 		w.s.h.cfg.Stalled(w.ctx, w.t.id, w.t.address)
 		wait = paused + askSlack
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -72,25 +72,6 @@
 	return s
 }
 
-// target is where one run goes.
-type target struct {
-	id, address string
-	path        chain.Path
-	release     func()
-}
-
-// engines returns the engines that a run depends on.
-func (t target) engines() []string {
-	if len(t.path.Hops) == 0 {
-		return []string{t.id}
-	}
-	ids := make([]string, len(t.path.Hops))
-	for i, h := range t.path.Hops {
-		ids[i] = h.Engine
-	}
-	return ids
-}
-
 // runEnd is how one run ended.
 type runEnd struct {
 	notRun bool   // The upstream did not begin to run it.
@@ -107,10 +88,11 @@
 		if err != nil {
 			return s.give(err)
 		}
-		s.x.Account.Path = exchange.Path{First: t.id, Hops: len(t.path.Hops), FirstMs: t.path.FirstMs, TokenMs: t.path.TokenMs}
+		p := t.now()
+		s.x.Account.Path = exchange.Path{First: t.id, Hops: len(p.Hops), FirstMs: p.FirstMs, TokenMs: p.TokenMs}
 		end := s.one(ctx, t)
 		s.x.Account.Events = s.last - s.asked
-		t.release()
+		t.close()
 		s.note(t, end)
 		if !end.notRun && end.cause != nil && !end.ours {
 			s.runs++
@@ -168,7 +150,7 @@
 }
 
 // choose finds a path, and waits a little for room.
-func (s *stream) choose(ctx context.Context) (target, error) {
+func (s *stream) choose(ctx context.Context) (*target, error) {
 	wait := time.Duration(waitPart * float64(s.x.Forward.Route.Objective.Std()))
 	if s.begun || s.runs > 0 {
 		wait = resumeWait
@@ -188,43 +170,42 @@
 		}
 		select {
 		case <-ctx.Done():
-			return target{}, context.Cause(ctx)
+			return nil, context.Cause(ctx)
 		case <-timer.C:
-			return target{}, err
+			return nil, err
 		case <-room:
 		}
 	}
 }
 
-func (s *stream) find() (target, error) {
+func (s *stream) find() (*target, error) {
 	pool := s.x.Forward.Pool
 	if pool.Engine == nil {
 		u, err := s.h.cfg.Catalog.Pick(pool, s.h.cfg.DataCentre, s.exclude)
 		if err != nil {
-			return target{}, err
+			return nil, err
 		}
-		return target{id: u.ID, address: u.Address, release: s.h.cfg.Catalog.HoldOne(u.ID)}, nil
+		return &target{id: u.ID, address: u.Address, release: s.h.cfg.Catalog.HoldOne(u.ID)}, nil
 	}
 	p, release, err := s.h.cfg.Catalog.ChoosePath(pool, chain.Request{
 		Prompt: s.prompt, Answer: s.answer, Home: s.h.cfg.DataCentre, Exclude: s.exclude, First: s.firsts(),
 	})
 	if err != nil {
-		return target{}, err
+		return nil, err
 	}
-	return target{id: p.Hops[0].Engine, address: p.Hops[0].Address, path: p, release: release}, nil
+	return &target{id: p.Hops[0].Engine, address: p.Hops[0].Address, path: p, release: release}, nil
 }
 
 // one sends the request to a target and passes its events on.
-func (s *stream) one(ctx context.Context, t target) runEnd {
+func (s *stream) one(ctx context.Context, t *target) runEnd {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := s.h.cfg.Catalog.Watch(t.engines(), func(string) { cancel(errLost) })
-	defer watch.Stop()
+	s.watch(ctx, t, cancel)
 	stall := s.newStall(ctx, t, cancel)
 	defer stall.stop()
 	d := &s.h.cfg.Dialect
 	sent := send{
-		upstream: t.id, organisation: s.x.Organisation, path: t.path.Hops, left: left(s.x),
+		upstream: t.id, organisation: s.x.Organisation, path: t.now().Hops, left: left(s.x),
 		urgency: min(urgencies-1, max(0, s.x.Forward.Priority)),
 	}
 	if s.last > 0 {
@@ -335,7 +316,7 @@
 }
 
 // note keeps what a run told of the engines on its path.
-func (s *stream) note(t target, end runEnd) {
+func (s *stream) note(t *target, end runEnd) {
 	s.x.Account.Sends = append(s.x.Account.Sends, exchange.Send{Upstream: t.id, Result: strconv.Itoa(end.status)})
 	c := s.h.cfg.Catalog
 	if end.cause == nil {
@@ -345,9 +326,10 @@
 	if end.ours {
 		return
 	}
-	s.h.cfg.Log.Decision("runEnded", s.x.ID, "upstream", t.id, "address", t.address, "hops", len(t.path.Hops), "status", end.status,
+	p := t.now()
+	s.h.cfg.Log.Decision("runEnded", s.x.ID, "upstream", t.id, "address", t.address, "hops", len(p.Hops), "status", end.status,
 		"notRun", end.notRun, "fault", end.fault, "cause", end.cause.Error(), "lastEvent", s.last, "run", len(s.x.Account.Sends),
-		"estimateFirstMs", t.path.FirstMs, "estimateTokenMs", t.path.TokenMs,
+		"estimateFirstMs", p.FirstMs, "estimateTokenMs", p.TokenMs,
 		"atMs", time.Since(s.x.Received).Milliseconds(), "leftMs", int64(left(s.x)))
 	if errors.Is(end.cause, context.Canceled) || errors.Is(end.cause, context.DeadlineExceeded) {
 		return
@@ -356,7 +338,7 @@
 }
 
 // blame pauses the engine at fault, as far as the end of a run tells which that is.
-func (s *stream) blame(t target, end runEnd) {
+func (s *stream) blame(t *target, end runEnd) {
 	c := s.h.cfg.Catalog
 	if end.fault != "" {
 		if id, ok := c.ByAddress(end.fault); ok {
@@ -371,8 +353,8 @@
 	}
 	switch {
 	case errors.Is(end.cause, errStalled):
-		for _, h := range t.path.Hops {
-			s.exclude[h.Engine] = true
+		for _, id := range t.engines() {
+			s.exclude[id] = true
 		}
 	case errors.Is(end.cause, errLost):
 		// The catalog knows which one it was.
--- /dev/null
+++ b/internal/request/forward/target.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
+)
+
+// moveTimeout bounds the order by which a running request changes its path.
+const moveTimeout = 400 * time.Millisecond
+
+// target is where one run goes. Its path may change while it runs.
+type target struct {
+	id, address string // Of the first upstream, which stays.
+
+	mu      sync.Mutex
+	path    chain.Path
+	release func()
+	watch   *catalog.Watch
+	closed  bool
+}
+
+// now returns the present path.
+func (t *target) now() chain.Path {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.path
+}
+
+// engines returns the engines that the run depends on.
+func (t *target) engines() []string {
+	hops := t.now().Hops
+	if len(hops) == 0 {
+		return []string{t.id}
+	}
+	ids := make([]string, len(hops))
+	for i, h := range hops {
+		ids[i] = h.Engine
+	}
+	return ids
+}
+
+// close gives back what the run held.
+func (t *target) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	t.release()
+	if t.watch != nil {
+		t.watch.Stop()
+	}
+}
+
+// swap puts another path in place, unless the run has ended.
+func (t *target) swap(p chain.Path, release func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.release()
+	t.path, t.release = p, release
+	return true
+}
+
+// setWatch replaces the watch on the run's engines.
+func (t *target) setWatch(w *catalog.Watch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		w.Stop()
+		return
+	}
+	if t.watch != nil {
+		t.watch.Stop()
+	}
+	t.watch = w
+}
+
+// watch moves a run away from an engine that is found dead, or ends it.
+func (s *stream) watch(ctx context.Context, t *target, cancel context.CancelCauseFunc) {
+	t.setWatch(s.h.cfg.Catalog.Watch(t.engines(), func(lost string) {
+		if !s.move(ctx, t, lost) {
+			cancel(errLost)
+			return
+		}
+		s.watch(ctx, t, cancel)
+	}))
+}
+
+// move orders the first engine to lead a running request around a dead one. What the
+// other engines hold of the request stays, and no other run of it begins.
+func (s *stream) move(ctx context.Context, t *target, lost string) bool {
+	was := t.now()
+	if s.h.cfg.Repath == nil || len(was.Hops) == 0 || lost == t.id || ctx.Err() != nil {
+		return false
+	}
+	p, release, err := s.h.cfg.Catalog.ChoosePath(s.x.Forward.Pool, chain.Request{
+		Prompt: s.prompt, Answer: s.answer, Home: s.h.cfg.DataCentre, Exclude: map[string]bool{lost: true}, First: map[string]bool{t.id: true},
+	})
+	if err != nil {
+		return false
+	}
+	if p.Hops[0] != was.Hops[0] || slices.ContainsFunc(p.Hops, func(h chain.Hop) bool { return h.Engine == lost }) {
+		release()
+		return false
+	}
+	ctx, stop := context.WithTimeout(ctx, moveTimeout)
+	defer stop()
+	err = s.h.cfg.Repath(ctx, t.id, t.address, s.x.ID, p.Hops)
+	s.h.cfg.Log.Decision("pathChanged", s.x.ID, "upstream", t.id, "lost", lost, "hops", len(p.Hops), "error", errText(err),
+		"estimateTokenMs", p.TokenMs, "atMs", time.Since(s.x.Received).Milliseconds())
+	if err != nil || !t.swap(p, release) {
+		release()
+		return false
+	}
+	return true
+}
