--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -52,7 +52,7 @@
   - {name: north, keys: [k1]}
 `
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	clk := clock.NewSystem()
 	f := &fixture{catalog: catalog.New("vm", clk, clock.Minute, nil)}
@@ -93,7 +93,7 @@
 }
 
 // start announces an upstream that serves by a script.
-func (f *fixture) start(t *testing.T, id, service string, from, to uint32, serve func(u *upstream, c net.Conn, r *http.Request)) *upstream {
+func (f *fixture) start(t testing.TB, id, service string, from, to uint32, serve func(u *upstream, c net.Conn, r *http.Request)) *upstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -513,3 +513,32 @@
 	assert.Assert(t, time.Since(began) < 500*time.Millisecond, "%s", time.Since(began))
 	assert.Equal(t, e.runs(), 0)
 }
+
+// BenchmarkEvent passes one event of a stream on, from the upstream's connection to the
+// caller's.
+func BenchmarkEvent(b *testing.B) {
+	f := newFixture(b)
+	f.start(b, "e1", "crew", 0, 8, func(_ *upstream, c net.Conn, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: id-1\r\n%sTransfer-Encoding: chunked\r\n\r\n", integrity)
+		for i := 1; i <= b.N; i++ {
+			event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return
+			}
+			time.Sleep(time.Microsecond)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, f.server.URL+"/draft/1", nil)
+	assert.NilError(b, err)
+	r.Host = "a.example"
+	r.Header.Set("Authorization", "Bearer k1")
+	r.Header.Set("Jasminecove-Request-Id", "id-1")
+	r.Header.Set("Jasminecove-Deadline-Ms", "60000")
+	b.ReportAllocs()
+	b.ResetTimer()
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(b, err)
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body) // The route's deadline may end a long run.
+}
