Count a repeat only when an upstream got the request

Change: sends that reached nobody cost no repeat; engines that refused something lately are used before a gap is reported. Tests: TestConnectionThatWasRefusedIsNoRepeat, TestEngineThatRefusedIsBetterThanAGap, both failing before.

--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -34,6 +34,9 @@
 	catalog *catalog.Catalog
 	server  *httptest.Server
 	ready   error
+	retries retryshare.Limits
+	once    sync.Once
+	handler *forward.Handler // Made at the first request.
 }
 
 const tablesYAML = `
@@ -55,14 +58,13 @@
 func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	clk := clock.NewSystem()
-	f := &fixture{catalog: catalog.New("vm", clk, clock.Minute, nil)}
+	f := &fixture{catalog: catalog.New("vm", clk, clock.Minute, nil), retries: retryshare.Limits{Allowance: 1000, Window: 10 * clock.Second}}
 	doc, err := tables.Parse([]byte(tablesYAML))
 	assert.NilError(t, err)
 	f.catalog.SetTables(doc)
-	h := forward.New(forward.Config{
+	cfg := forward.Config{
 		Dialect: forward.Own(), DataCentre: "a", Clock: clk, Source: rng.New(1), Catalog: f.catalog, Pool: call.NewPool(),
-		Retries: retryshare.Limits{Ratio: 0.2, Allowance: 1000, Window: 10 * clock.Second},
-		VMs:     func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return false },
+		VMs: func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return false },
 		Metrics: tally.NoopScope,
 		Repath: func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error {
 			if f.repath == nil {
@@ -70,8 +72,14 @@
 			}
 			return f.repath(ctx, engine, address, requestID, hops)
 		},
-	})
-	f.server = httptest.NewServer(h)
+	}
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.once.Do(func() {
+			cfg.Retries = f.retries
+			f.handler = forward.New(cfg)
+		})
+		f.handler.ServeHTTP(w, r)
+	}))
 	t.Cleanup(f.server.Close)
 	return f
 }
@@ -263,6 +271,22 @@
 	assert.Equal(t, u2.runs(), 5)
 }
 
+// TestConnectionThatWasRefusedIsNoRepeat meets upstreams that are gone, with no repeats
+// allowed.
+func TestConnectionThatWasRefusedIsNoRepeat(t *testing.T) {
+	f := newFixture(t)
+	f.retries.Allowance = 0
+	f.announce(&upstream{id: "u0", address: "127.0.0.1:1"}, "desk", 0, 0)
+	f.start(t, "u1", "desk", 0, 0, well)
+	f.announce(&upstream{id: "e0", address: "127.0.0.1:1"}, "crew", 0, 8)
+	f.start(t, "e1", "crew", 0, 8, events(3, 0))
+	for _, path := range []string{"/look/1", "/draft/1", "/look/2", "/draft/2"} {
+		resp, _, err := f.do(t, "GET", path, "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 200, path)
+	}
+}
+
 func TestLostAnswerOfAnIdempotentCallIsAskedForElsewhere(t *testing.T) {
 	for name, serve := range map[string]func(*upstream, net.Conn, *http.Request){"reset": reset, "silent": silent} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -38,7 +38,8 @@
 	h       *Handler
 	x       *exchange.Exchange
 	exclude map[string]bool
-	ran     int // Sends that may have run.
+	ran     int  // Sends that may have run.
+	arrived bool // An upstream got the request, so that another send is a repeat.
 }
 
 // answer is what one send led to.
@@ -61,12 +62,13 @@
 		if err != nil {
 			return p.give(last, err)
 		}
-		if try > 0 && !p.h.mayRepeat(pool.Name) {
+		if p.arrived && !p.h.mayRepeat(pool.Name) {
 			return p.give(last, errNoBudget)
 		}
 		more := repeatable && p.ran+1 < most
 		last = p.send(ctx, u, route, more)
 		p.exclude[u.ID] = true
+		p.arrived = p.arrived || !errors.Is(last.err, call.ErrNotSent)
 		p.note(u, last)
 		switch {
 		case last.err == nil && !last.notRun && (last.status < http.StatusInternalServerError || !more):
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -55,6 +55,7 @@
 	runs    int       // Runs that may have begun.
 	passed  time.Time // When events were last passed on.
 	refused int       // Sends that an upstream refused unrun.
+	arrived bool      // An upstream got the request, so that another send is a repeat.
 	// used are the upstreams that may have run it, as the first of their path.
 	used map[string]bool
 }
@@ -127,7 +128,8 @@
 			return errAttempts
 		}
 	}
-	if !s.h.mayRepeat(s.x.Forward.Pool.Name) {
+	s.arrived = s.arrived || !errors.Is(end.cause, call.ErrNotSent)
+	if s.arrived && !s.h.mayRepeat(s.x.Forward.Pool.Name) {
 		return errNoBudget
 	}
 	return nil
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -229,6 +229,18 @@
 	assert.NilError(t, err)
 }
 
+func TestEngineThatRefusedIsBetterThanAGap(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	c.Announce(said("e1", "crew", "x", 1, 1, 0, 8))
+	c.Announce(said("e2", "crew", "x", 1, 1, 0, 8))
+	c.Busy("e1", clock.Second)
+	c.Dead("e2", true)
+	p, _, err := c.ChoosePath(crew, chain.Request{Prompt: 5, Answer: 5, Home: "x"})
+	assert.NilError(t, err)
+	assert.Equal(t, p.Hops[0].Engine, "e1")
+}
+
 func TestLayersThatWereFoundCountBeforeTheyAreAnnounced(t *testing.T) {
 	f := newFleet(2)
 	c, other := f.catalogs[0], f.catalogs[1]
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"errors"
+
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
@@ -82,7 +84,11 @@
 	now := c.clock.Now()
 	m := chainModel(p.Engine)
 	m.PipeMs = func(a, b string) float64 { return c.pipeWait(pipeOf(a, b), now) }
-	path, err = chain.Choose(m, c.engines(p, r.Exclude), r)
+	path, err = chain.Choose(m, c.engines(p, r.Exclude, false), r)
+	if errors.Is(err, chain.ErrGap) {
+		// An engine that refused something lately is better than a gap.
+		path, err = chain.Choose(m, c.engines(p, r.Exclude, true), r)
+	}
 	if err != nil {
 		return path, nil, err
 	}
@@ -90,13 +96,14 @@
 	return path, c.hold(path), nil
 }
 
-// engines returns the pool's engines that a path may use.
-func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool) []chain.Engine {
+// engines returns the pool's engines that a path may use; paused also those that are
+// paused, but for the dead.
+func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool, paused bool) []chain.Engine {
 	now := c.clock.Now()
 	all := c.view(p)
 	out := make([]chain.Engine, 0, len(all))
 	for _, u := range all {
-		if u.Leaving || u.LayerTo <= u.LayerFrom || exclude[u.Id] || c.paused(u.Id, now) {
+		if u.Leaving || u.LayerTo <= u.LayerFrom || exclude[u.Id] || c.isDead(u.Id, now) || !paused && c.paused(u.Id, now) {
 			continue
 		}
 		k, ok := p.Engine.Kind(u.Accelerator)
--- a/internal/routing/catalog/health.go
+++ b/internal/routing/catalog/health.go
@@ -126,6 +126,12 @@
 	return now.Sub(h.deadSince)
 }
 
+// isDead reports whether an upstream is thought dead now.
+func (c *Catalog) isDead(id string, now clock.Time) bool {
+	h := c.health[id]
+	return h != nil && h.deadSince != 0 && now.Before(h.pausedTo)
+}
+
 // deadHere lists the upstreams that this VM itself found dead just now.
 func (c *Catalog) deadHere(now clock.Time) []string {
 	var out []string
