--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -152,7 +152,13 @@
 		if l.address == "" {
 			continue
 		}
-		if err := r.listen(l.address, l.handler); err != nil {
+		err := r.listen(l.address, l.handler)
+		if err != nil && l.address == r.cfg.Metrics {
+			// Requests are served without metrics too.
+			r.log.Decision("metricsNotServed", r.cfg.Settings.VM, "error", err.Error())
+			continue
+		}
+		if err != nil {
 			r.Stop()
 			return err
 		}
