--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -85,7 +85,9 @@
 	c, other := f.catalogs[0], f.catalogs[1]
 	c.Announce(said("u", "desk", "x", 100, 5, 0, 0))
 	other.End("u")
-	c.Announce(said("u", "desk", "x", 100, 6, 0, 0)) // Was under way.
+	for sequence := range uint64(3) { // Were under way.
+		c.Announce(said("u", "desk", "x", 100, 6+sequence, 0, 0))
+	}
 	for _, x := range f.catalogs {
 		_, err := x.Pick(desk, "x", nil)
 		assert.Equal(t, err, catalog.ErrNone)
