Look for a path again while a request waits

Cause: a request that waited for a path was woken only when another request of its own VM ended: on a VM without requests, as after a restart, it waited 0.35 s and was refused although the engines had become known meanwhile. Found by reading. Change: look again every 25 ms. Test: TestPathThatBecomesKnownServesWhoWaits fails before.

--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -525,6 +525,16 @@
 	assert.Assert(t, took >= 800*time.Millisecond && took < 1300*time.Millisecond, "%s", took)
 }
 
+// TestPathThatBecomesKnownServesWhoWaits announces the only engine while a request waits.
+func TestPathThatBecomesKnownServesWhoWaits(t *testing.T) {
+	f := newFixture(t)
+	time.AfterFunc(100*time.Millisecond, func() { f.start(t, "e1", "crew", 0, 8, events(3, 0)) })
+	resp, body, err := f.do(t, "POST", "/draft/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, body, wantEvents(1, 3))
+}
+
 // TestFullPoolIsRefusedWithinTheObjective fills the only engine's memory.
 func TestFullPoolIsRefusedWithinTheObjective(t *testing.T) {
 	f := newFixture(t)
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -21,6 +21,9 @@
 	// waitPart is the part of the route's objective for which a request waits for room
 	// on a path before it is refused. What is left serves for its first event.
 	waitPart = 0.7
+	// roomLook is the span between two looks for a path that others made room on, or
+	// whose engines have just become known.
+	roomLook = 25 * time.Millisecond
 	// resumeWait is how long a broken stream waits for a path that has room.
 	resumeWait = 1500 * time.Millisecond
 	// firstFactor and gapFactor times the estimate, and askSlack, is how long a run may
@@ -159,6 +162,8 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	look := time.NewTicker(roomLook)
+	defer look.Stop()
 	for {
 		room := s.h.cfg.Catalog.Room()
 		t, err := s.find()
@@ -176,6 +181,7 @@
 		case <-timer.C:
 			return nil, err
 		case <-room:
+		case <-look.C:
 		}
 	}
 }
