Let lines that come after the log was closed be lost

Change: closing is a signal of its own, later lines are lost, and a blocked output is waited for 0.3 s at most. Test: TestClosingAloneEndsTheLog fails before.

--- a/internal/node/decision/decision.go
+++ b/internal/node/decision/decision.go
@@ -19,6 +19,8 @@
 	perSecond = 200
 	// queued is how many lines wait for a slow output.
 	queued = 4096
+	// closeWithin bounds the wait for the output at the end.
+	closeWithin = 300 * time.Millisecond
 	// reportEvery is the span between two reports of lost lines.
 	reportEvery = 1 * time.Second
 )
@@ -28,7 +30,8 @@
 	log   hclog.Logger
 	queue chan []byte
 	out   io.Writer
-	done  chan struct{}
+	stop  chan struct{} // Closed by Close.
+	done  chan struct{} // Closed when run has ended.
 	lost  atomic.Int64
 
 	mu     sync.Mutex
@@ -40,7 +43,7 @@
 // New returns a Log of a VM that writes JSON lines to out. Close ends it.
 func New(vm string, level hclog.Level, out io.Writer) *Log {
 	l := &Log{
-		queue: make(chan []byte, queued), out: out, done: make(chan struct{}),
+		queue: make(chan []byte, queued), out: out, stop: make(chan struct{}), done: make(chan struct{}),
 		lines: map[string]int{}, held: map[string]int{},
 	}
 	l.log = hclog.New(&hclog.LoggerOptions{Name: vm, Level: level, JSONFormat: true, Output: queueWriter{l}, TimeFormat: "2006-01-02T15:04:05.000Z07:00"})
@@ -73,13 +76,11 @@
 	defer report.Stop()
 	for {
 		select {
-		case line, open := <-l.queue:
-			if !open {
-				return
-			}
-			if _, err := l.out.Write(line); err != nil {
-				l.lost.Add(1)
-			}
+		case line := <-l.queue:
+			l.write(line)
+		case <-l.stop:
+			l.drain()
+			return
 		case <-report.C:
 			if n := l.lost.Swap(0); n > 0 {
 				l.log.Warn("log: lines lost", "lines", n)
@@ -88,6 +89,24 @@
 	}
 }
 
+// drain writes the lines that are queued already.
+func (l *Log) drain() {
+	for {
+		select {
+		case line := <-l.queue:
+			l.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Log) write(line []byte) {
+	if _, err := l.out.Write(line); err != nil {
+		l.lost.Add(1)
+	}
+}
+
 // Decision writes one line: what was decided about the request or thing named id, and
 // the inputs.
 func (l *Log) Decision(kind, id string, inputs ...any) {
@@ -119,8 +138,12 @@
 	return ok
 }
 
-// Close writes what is queued and ends the log.
+// Close writes what is queued and ends the log. It does not wait for a blocked output.
+// Lines that come later are lost.
 func (l *Log) Close() {
-	close(l.queue)
-	<-l.done
+	close(l.stop)
+	select {
+	case <-l.done:
+	case <-time.After(closeWithin):
+	}
 }
--- a/internal/node/decision/decision_test.go
+++ b/internal/node/decision/decision_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,6 +44,31 @@
 	l.Close()
 }
 
+// TestClosingAloneEndsTheLog writes lines while and after the log is closed, and closes
+// one whose output is blocked.
+func TestClosingAloneEndsTheLog(t *testing.T) {
+	l := decision.New("a1", hclog.Info, io.Discard)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for range 2000 {
+				l.Logger().Warn("line")
+			}
+		}()
+	}
+	l.Close()
+	writers.Wait()
+	out := blocked{release: make(chan struct{})}
+	stuck := decision.New("a1", hclog.Info, out)
+	stuck.Decision("kind", "r1")
+	began := time.Now()
+	stuck.Close()
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+	close(out.release)
+}
+
 func TestFloodStaysWithinTheBudget(t *testing.T) {
 	var out bytes.Buffer
 	l := decision.New("a1", hclog.Info, &out)
