--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -107,7 +107,8 @@
 	Commit    uint64         `json:"commit"`
 	Last      uint64         `json:"last"`
 	Snapshot  uint64         `json:"snapshot"`
-	Voters    []string       `json:"voters"`
+	Voters    []string       `json:"voters"`          // VMs; one whose disk was replaced is named while its old replica votes.
+	Votes     bool           `json:"votes,omitempty"` // This replica itself is one of the voters.
 	Learners  []string       `json:"learners,omitempty"`
 	Claims    int            `json:"claims"`
 	Formed    bool           `json:"formed"`
@@ -244,6 +245,7 @@
 	}
 	for _, v := range m.GetVoters() {
 		s.Voters = append(s.Voters, v.Vm)
+		s.Votes = s.Votes || v.Id == r.identity.Id
 	}
 	for _, l := range m.GetLearners() {
 		s.Learners = append(s.Learners, l.Vm)
--- a/internal/standin/local/local.go
+++ b/internal/standin/local/local.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -77,13 +78,13 @@
 	if err := keys.Issue(keyFolder, vm, own); err != nil {
 		return settings.Settings{}, err
 	}
-	data := fmt.Sprintf(`vm: %s
-dataCentre: dc-%d
-listen: {callers: "127.0.0.1:0", upstreams: "127.0.0.1:0", operators: "127.0.0.1:0", fleet: %q}
-fleet: {keys: %q}
+	data := fmt.Sprintf(`vm: %[1]s
+dataCentre: dc-%[2]d
+listen: {callers: "%[3]s:0", upstreams: "%[3]s:0", operators: "%[3]s:0", fleet: %[4]q}
+fleet: {keys: %[5]q}
 callers: {anonymous: true}
-telemetry: {logLevel: %s}
-`, vm, i%max(f.cfg.DataCentres, 1)+1, seeds[i], own, level(f.cfg.LogLevel))
+telemetry: {logLevel: %[6]s}
+`, vm, i%max(f.cfg.DataCentres, 1)+1, host(), seeds[i], own, level(f.cfg.LogLevel))
 	s, err := settings.Parse(vm, []byte(data))
 	if err != nil {
 		return s, err
@@ -208,9 +209,16 @@
 	return out
 }
 
+// host returns this process's loopback address. Connections are made from 127.0.0.1, so
+// that no process takes the port of a stopped VM before it starts again.
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
+}
+
 // freeAddress returns a loopback address whose port is free at present.
 func freeAddress() (string, error) {
-	l, err := net.ListenPacket("udp", "127.0.0.1:0")
+	l, err := net.ListenPacket("udp", host()+":0")
 	if err != nil {
 		return "", fmt.Errorf("find a free port: %w", err)
 	}
