Connect to an engine that is named at fault, and tell it dead where nothing listens

From 6.506 s on four VMs got refusals that named it at fault, and only paused it for 0.4 s; it was found dead at 6.828 s by the question for whom stalled requests wait, whose answers lag 0.2 s. Streams that were resumed paused 0.42 s in the median, of which 0.33 s was that wait. Ruled out: the time of the new run (0.1 s) and the news between VMs (7 ms). Change: an engine that an answer names at fault, that refuses connections or breaks a run is connected to, once in 0.1 s an address. A refused connection means that its process has ended: it is dead at once, its requests move. One that listens is left alone. The questions about suspects move from the VM's process into node/detector.

--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/node/controlplane"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
+	"github.com/jasminecove/jasminecove/internal/node/detector"
 	"github.com/jasminecove/jasminecove/internal/node/placer"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/node/telemetry"
@@ -49,10 +50,6 @@
 	leaseTick         = 100 * time.Millisecond
 	occupancyEvery    = 240 * time.Millisecond
 	sweepEvery        = 1 * time.Second
-	reportTimeout     = 500 * time.Millisecond
-	// reportPause is the least span between two questions to one engine for whom it
-	// waits.
-	reportPause = 150 * clock.Millisecond
 )
 
 // Config is what a Router is made of.
@@ -96,8 +93,7 @@
 	draining atomic.Bool
 	vmCount  atomic.Int64
 	mu       sync.Mutex
-	asked    map[string]clock.Time // When an engine was last asked for whom it waits.
-	ready    bool                  // Readiness as it was last told.
+	ready    bool // Readiness as it was last told.
 	tasks    sync.WaitGroup
 	cancel   context.CancelFunc
 }
@@ -105,7 +101,7 @@
 // New prepares a VM's process.
 func New(cfg Config) (*Router, error) {
 	s := cfg.Settings
-	r := &Router{cfg: cfg, clock: clock.NewSystem(), pool: call.NewPool(), asked: map[string]clock.Time{}}
+	r := &Router{cfg: cfg, clock: clock.NewSystem(), pool: call.NewPool()}
 	r.started = uint64(r.clock.Now())
 	r.log = decision.New(s.VM, hclog.LevelFromString(s.Telemetry.LogLevel), cfg.Out)
 	var err error
@@ -128,9 +124,11 @@
 	}
 	r.catalog.SetVMs(r.vms)
 	r.engines = cfg.Engines(r.pool)
+	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.engines, Prober: r.pool, Log: r.log, Go: r.task})
 	r.handler = forward.New(forward.Config{
 		Dialect: cfg.Dialect, DataCentre: s.DataCentre, Clock: r.clock, Source: rng.New(src.Uint64()), Catalog: r.catalog, Pool: r.pool,
-		Retries: cfg.Retries, VMs: r.vms, Ready: r.known, Closing: r.draining.Load, Stalled: r.findStalled, Repath: r.engines.Repath, Log: r.log, Metrics: r.tel.Metrics,
+		Retries: cfg.Retries, VMs: r.vms, Ready: r.known, Closing: r.draining.Load, Stalled: detect.Stalled, Suspected: detect.Verify,
+		Repath: r.engines.Repath, Log: r.log, Metrics: r.tel.Metrics,
 	})
 	return r, nil
 }
@@ -355,36 +353,6 @@
 	r.plane.ShareOccupancy(o)
 }
 
-// findStalled asks an engine for whom its requests wait, and tells those dead. Several
-// requests that stall at one engine share one question.
-func (r *Router) findStalled(ctx context.Context, id, address string) {
-	now := r.clock.Now()
-	r.mu.Lock()
-	due := now.Sub(r.asked[id]) >= reportPause
-	if due {
-		r.asked[id] = now
-	}
-	r.mu.Unlock()
-	if !due {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := r.engines.Report(ctx, id, address)
-	if err != nil {
-		r.log.Decision("upstreamSuspected", id, "reason", "no report", "error", err.Error())
-		r.catalog.Unreachable(id)
-		return
-	}
-	for _, other := range report.Stalled {
-		lost, ok := r.catalog.ByAddress(other)
-		r.log.Decision("upstreamSuspected", lost, "reason", "another engine waits for it", "address", other, "reportedBy", id, "known", ok)
-		if ok {
-			r.catalog.Dead(lost, true)
-		}
-	}
-}
-
 // Foreign counts an announcement that names no upstream to use.
 func (r *Router) Foreign(id string, err error) {
 	r.tel.Metrics.Counter("foreign_announcements_total").Inc(1)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -40,6 +40,9 @@
 	// Stalled is told of an engine whose request makes no progress, so that the one at
 	// fault on its path is found and told to the catalog.
 	Stalled func(ctx context.Context, engine, address string)
+	// Suspected is told of an engine that an answer names at fault, or that broke a run,
+	// so that a dead one is found without waiting; nil where nobody looks.
+	Suspected func(address, reason, requestID string)
 	// Repath orders the first engine of a running request to lead it along another
 	// path, whose first hop is the same; nil where engines cannot.
 	Repath  func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -30,13 +30,14 @@
 
 // fixture is a forwarding VM with upstreams of its own.
 type fixture struct {
-	repath  func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
-	catalog *catalog.Catalog
-	server  *httptest.Server
-	ready   error
-	retries retryshare.Limits
-	once    sync.Once
-	handler *forward.Handler // Made at the first request.
+	suspected func(address, reason, requestID string)
+	repath    func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
+	catalog   *catalog.Catalog
+	server    *httptest.Server
+	ready     error
+	retries   retryshare.Limits
+	once      sync.Once
+	handler   *forward.Handler // Made at the first request.
 }
 
 const tablesYAML = `
@@ -72,6 +73,11 @@
 			}
 			return f.repath(ctx, engine, address, requestID, hops)
 		},
+		Suspected: func(address, reason, requestID string) {
+			if f.suspected != nil {
+				f.suspected(address, reason, requestID)
+			}
+		},
 	}
 	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.once.Do(func() {
@@ -463,6 +469,31 @@
 	assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
 }
 
+// TestEngineAtFaultIsLookedAt lets one engine name another at fault, and another break its
+// run. Both are looked at, and the request is served elsewhere.
+func TestEngineAtFaultIsLookedAt(t *testing.T) {
+	f := newFixture(t)
+	named := f.start(t, "e2", "crew", 4, 8, silent)
+	suspects := make(chan string, 10)
+	f.suspected = func(address, _, requestID string) {
+		assert.Check(t, requestID == "id-1")
+		suspects <- address
+	}
+	var breaks *upstream
+	f.start(t, "e1", "crew", 0, 4, func(_ *upstream, c net.Conn, r *http.Request) {
+		breaks = f.start(t, "e3", "crew", 0, 8, func(u *upstream, c net.Conn, r *http.Request) {
+			f.start(t, "e4", "crew", 0, 8, events(5, 0))
+			events(5, 2)(u, c, r)
+		})
+		answer(c, r, 503, "Jasminecove-Not-Run: 1\r\nJasminecove-Culprit: "+named.address+"\r\n", "")
+	})
+	_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, wantEvents(1, 5))
+	assert.Equal(t, <-suspects, named.address)
+	assert.Equal(t, <-suspects, breaks.address)
+}
+
 // TestRunningRequestIsLedAroundADeadEngine finds a later engine dead. The first one goes
 // on with the request along another path, and no second run begins.
 func TestRunningRequestIsLedAroundADeadEngine(t *testing.T) {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -356,6 +356,7 @@
 				pause = movedPause
 			}
 			c.Busy(id, pause)
+			s.suspect(end.fault, "named at fault by another engine")
 			return
 		}
 	}
@@ -372,11 +373,20 @@
 	case end.notRun:
 		s.exclude[t.id] = true
 		c.Unreachable(t.id)
+		s.suspect(t.address, "connection failed")
 	default:
 		// A run that broke is a fault of its upstream, which goes on with others. If it
 		// is gone, the next connection tells.
 		s.exclude[t.id] = true
 		c.Answered(t.id, true)
+		s.suspect(t.address, "run broke")
+	}
+}
+
+// suspect has an engine looked at that may be dead.
+func (s *stream) suspect(address, reason string) {
+	if s.h.cfg.Suspected != nil && s.x.Forward.Pool.Engine != nil {
+		s.h.cfg.Suspected(address, reason, s.x.ID)
 	}
 }
 
--- a/internal/upstream/call/pool.go
+++ b/internal/upstream/call/pool.go
@@ -64,6 +64,16 @@
 	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
+// Probe opens a connection to an address and keeps it for a request.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("connect to %s: %w", address, err)
+	}
+	p.keep(&conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer)}, nil)
+	return nil
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
