Borrow from the other VMs' parts of the retry limit

Cause: each VM kept within a fixed part of the limit that all share. With 78 VMs a part is some 4 repeats in 10 s. Ruled out: the limit itself (78 repeats of 340 allowed). Change: a VM whose part is used up asks others, in a round that all requests share which need a repeat at that moment; a lender gives up to half of what is free and counts it for the window and as long as the loan lives, so that the sum holds in each window, also when a loan is lost on its way. The window of a part begins with the process.

--- a/internal/node/controlplane/calls.go
+++ b/internal/node/controlplane/calls.go
@@ -45,6 +45,11 @@
 			}
 		}
 		return &fleetpb.Reply{Digests: p.cfg.Directory.DigestsOf(homes)}
+	case *fleetpb.Call_Lend:
+		if p.cfg.Lend == nil {
+			return &fleetpb.Reply{}
+		}
+		return &fleetpb.Reply{Lent: uint32(p.cfg.Lend(b.Lend.Pool, int(b.Lend.Repeats)))}
 	case *fleetpb.Call_Explain:
 		return &fleetpb.Reply{Account: p.cfg.Explain(b.Explain.RequestId)}
 	case *fleetpb.Call_Read:
@@ -113,6 +118,16 @@
 	return err
 }
 
+// Borrow asks another VM for repeats out of its part of a pool's retry limit, and
+// returns how many it lent.
+func (p *Plane) Borrow(ctx context.Context, vm, pool string, repeats int) (int, error) {
+	reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Lend{Lend: &fleetpb.Lend{Pool: pool, Repeats: uint32(repeats)}}})
+	if err != nil {
+		return 0, err
+	}
+	return int(reply.Lent), nil
+}
+
 // ExplainElsewhere asks the other VMs for the account of a request, in JSON. It
 // is empty when none remembers the request.
 func (p *Plane) ExplainElsewhere(ctx context.Context, id string) []byte {
--- a/internal/node/controlplane/demand.go
+++ b/internal/node/controlplane/demand.go
@@ -117,6 +117,11 @@
 	return reply.Demand
 }
 
+// Others returns the names of the other live VMs.
+func (p *Plane) Others() []string {
+	return slices.DeleteFunc(p.liveVMs(), func(vm string) bool { return vm == p.cfg.Settings.VM })
+}
+
 // liveVMs returns the names of the live VMs.
 func (p *Plane) liveVMs() []string {
 	p.mu.Lock()
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -61,7 +61,10 @@
 	Parse func(document []byte) (*tables.Document, error)
 	// Occupied is told what another VM's requests hold on upstreams, if set.
 	Occupied func(vm string, o *fleetpb.Occupancy)
-	Source   *rng.Source
+	// Lend gives another VM repeats out of this one's part of a pool's retry limit, if
+	// set.
+	Lend   func(pool string, repeats int) int
+	Source *rng.Source
 	// Initial is the tables document that a new group starts with, if any.
 	Initial []byte
 	// Drain is called when another VM asks this one to drain.
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -117,6 +117,7 @@
 	r.plane, err = controlplane.New(controlplane.Config{
 		Settings: s, Clock: r.clock, Sink: r.violations, Log: r.log.Logger(), Directory: r.catalog, Source: src,
 		Parse: cfg.Parse, Occupied: r.catalog.TakeOccupancy,
+		Lend:  func(pool string, repeats int) int { return r.handler.Lend(pool, repeats) },
 		Drain: func() { r.log.Decision("drainAsked", s.VM) }, Explain: func(string) []byte { return nil },
 	})
 	if err != nil {
@@ -127,7 +128,7 @@
 	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.engines, Prober: r.pool, Log: r.log, Go: r.task})
 	r.handler = forward.New(forward.Config{
 		Dialect: cfg.Dialect, DataCentre: s.DataCentre, Clock: r.clock, Source: rng.New(src.Uint64()), Catalog: r.catalog, Pool: r.pool,
-		Retries: cfg.Retries, VMs: r.vms, Ready: r.known, Closing: r.draining.Load, Stalled: detect.Stalled, Suspected: detect.Verify,
+		Retries: cfg.Retries, Lenders: r.plane, VMs: r.vms, Ready: r.known, Closing: r.draining.Load, Stalled: detect.Stalled, Suspected: detect.Verify,
 		Repath: r.engines.Repath, Log: r.log, Metrics: r.tel.Metrics,
 	})
 	return r, nil
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -31,6 +31,9 @@
 	Catalog    *catalog.Catalog
 	Pool       *call.Pool
 	Retries    retryshare.Limits
+	// Lenders are the other VMs, whose parts of the retry limits this one may borrow
+	// from; nil for a lone VM.
+	Lenders Lenders
 	// VMs returns how many VMs share the retry limits.
 	VMs func() int
 	// Ready says why the VM takes no requests, or nil.
@@ -54,17 +57,23 @@
 type Handler struct {
 	cfg      Config
 	chain    exchange.Handler
+	started  clock.Time
 	inFlight atomic.Int64
 	meters   *meters
 
 	mu      sync.Mutex // Guards the fields below.
 	src     *rng.Source
 	retries map[string]*retryshare.Share // By pool.
+	rounds  map[string]*loanRound        // Under way, by pool.
+	noLoans map[string]clock.Time        // Until when nobody is asked, by pool.
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	h := &Handler{cfg: cfg, src: cfg.Source, retries: map[string]*retryshare.Share{}, meters: newMeters(cfg.Metrics)}
+	h := &Handler{
+		cfg: cfg, started: cfg.Clock.Now(), meters: newMeters(cfg.Metrics), src: cfg.Source,
+		retries: map[string]*retryshare.Share{}, rounds: map[string]*loanRound{}, noLoans: map[string]clock.Time{},
+	}
 	plain := func(ctx context.Context, _ string, x *exchange.Exchange, next exchange.Handler) error {
 		return next(ctx, x)
 	}
@@ -146,18 +155,10 @@
 	h.share(pool).First(h.cfg.Clock.Now())
 }
 
-// mayRepeat asks for one more send of a request to a pool.
-func (h *Handler) mayRepeat(pool string) bool {
-	vms := h.cfg.VMs()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.share(pool).Repeat(h.cfg.Clock.Now(), vms)
-}
-
 func (h *Handler) share(pool string) *retryshare.Share {
 	s := h.retries[pool]
 	if s == nil {
-		s = retryshare.New(h.cfg.Retries, h.cfg.Clock.Now(), h.cfg.VMs())
+		s = retryshare.New(h.cfg.Retries, h.started, h.cfg.VMs())
 		h.retries[pool] = s
 	}
 	return s
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -31,6 +31,7 @@
 // fixture is a forwarding VM with upstreams of its own.
 type fixture struct {
 	suspected func(address, reason, requestID string)
+	lenders   forward.Lenders
 	repath    func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
 	catalog   *catalog.Catalog
 	server    *httptest.Server
@@ -81,7 +82,7 @@
 	}
 	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.once.Do(func() {
-			cfg.Retries = f.retries
+			cfg.Retries, cfg.Lenders = f.retries, f.lenders
 			f.handler = forward.New(cfg)
 		})
 		f.handler.ServeHTTP(w, r)
--- /dev/null
+++ b/internal/request/forward/loan_test.go
@@ -0,0 +1,79 @@
+package forward_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/request/retryshare"
+)
+
+// bank lends what is asked for, up to a number a question.
+type bank struct {
+	most  int
+	asked atomic.Int64
+}
+
+func (b *bank) Others() []string { return []string{"vm-2", "vm-3", "vm-4"} }
+
+func (b *bank) Borrow(_ context.Context, _, _ string, repeats int) (int, error) {
+	b.asked.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	return min(b.most, repeats), nil
+}
+
+// TestStreamsThatBreakTogetherShareALoan breaks more streams at once than the VM's own
+// part allows to send again.
+func TestStreamsThatBreakTogetherShareALoan(t *testing.T) {
+	const streams = 12
+	for _, c := range []struct {
+		name  string
+		most  int
+		whole func(n int64) bool
+	}{
+		{"others lend", 6, func(n int64) bool { return n == streams }},
+		{"others have none", 0, func(n int64) bool { return n == 0 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.retries = retryshare.Limits{Allowance: 3, Window: 10 * clock.Second}
+			b := &bank{most: c.most}
+			f.lenders = b
+			f.start(t, "e1", "crew", 0, 8, events(30, 11))
+			f.start(t, "e2", "crew", 0, 8, events(30, 0))
+			f.catalog.Busy("e2", 100*clock.Millisecond)
+			var whole atomic.Int64
+			var callers sync.WaitGroup
+			for range streams {
+				callers.Go(func() {
+					if _, body, err := f.do(t, "POST", "/draft/1", "prompt"); err == nil && body == wantEvents(1, 30) {
+						whole.Add(1)
+					}
+				})
+			}
+			callers.Wait()
+			assert.Assert(t, c.whole(whole.Load()), "%d of %d streams were whole", whole.Load(), streams)
+			assert.Assert(t, b.asked.Load() <= streams, "%d questions", b.asked.Load())
+		})
+	}
+}
+
+// TestPartThatCountsAsUsedAtTheStartIsFreeOnceTheWindowHasPassed makes the first request
+// of a pool come a window after the process's start.
+func TestPartThatCountsAsUsedAtTheStartIsFreeOnceTheWindowHasPassed(t *testing.T) {
+	f := newFixture(t)
+	f.retries = retryshare.Limits{Allowance: 3, Window: 200 * clock.Millisecond}
+	f.start(t, "e1", "crew", 0, 8, events(30, 11))
+	// A request of another pool makes the handler, which stands for the process's start.
+	_, _, err := f.do(t, "GET", "/look/1", "")
+	assert.NilError(t, err)
+	time.Sleep(300 * time.Millisecond)
+	_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, wantEvents(1, 30))
+}
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return p.give(last, err)
 		}
-		if p.arrived && !p.h.mayRepeat(pool.Name) {
+		if p.arrived && !p.h.mayRepeat(ctx, pool.Name, p.x.ID) {
 			return p.give(last, errNoBudget)
 		}
 		more := repeatable && p.ran+1 < most
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -109,14 +109,14 @@
 		case end.ours || ctx.Err() != nil:
 			return s.give(end.cause)
 		}
-		if err := s.again(end); err != nil {
+		if err := s.again(ctx, end); err != nil {
 			return s.give(errors.Join(err, end.cause))
 		}
 	}
 }
 
 // again decides whether a request whose run ended early is sent once more.
-func (s *stream) again(end runEnd) error {
+func (s *stream) again(ctx context.Context, end runEnd) error {
 	route := s.x.Forward.Route
 	if end.notRun {
 		s.refused++
@@ -132,7 +132,7 @@
 		}
 	}
 	s.arrived = s.arrived || !errors.Is(end.cause, call.ErrNotSent)
-	if s.arrived && !s.h.mayRepeat(s.x.Forward.Pool.Name) {
+	if s.arrived && !s.h.mayRepeat(ctx, s.x.Forward.Pool.Name, s.x.ID) {
 		return errNoBudget
 	}
 	return nil
--- a/internal/request/retryshare/retryshare.go
+++ b/internal/request/retryshare/retryshare.go
@@ -1,9 +1,14 @@
 // Package retryshare bounds what all VMs together send to a pool again: a share of
 // the requests of a sliding window and an allowance. Each VM keeps within its part
-// without asking the others, so that the bound holds in partitions too.
+// without asking the others, so that the bound holds in partitions too. A VM that has
+// used its part up may borrow from the parts of others.
 package retryshare
 
-import "github.com/jasminecove/jasminecove/internal/base/clock"
+import (
+	"slices"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+)
 
 // buckets is the number of steps in which the window slides.
 const buckets = 20
@@ -19,6 +24,15 @@
 	Window    clock.Duration // Length of the window.
 }
 
+// loanLife is how long a borrowed repeat may be used.
+const loanLife = 1 * clock.Second
+
+// loan is a number of repeats until a moment.
+type loan struct {
+	repeats float64
+	until   clock.Time
+}
+
 // Share is one VM's part of the bound for one pool. It is not safe for concurrent use.
 type Share struct {
 	limits  Limits
@@ -26,6 +40,9 @@
 	now     int
 	firsts  [buckets]float64
 	repeats [buckets]float64
+	// lent counts here until the borrower's use of it has left every window; borrowed
+	// is what is left of other VMs' parts.
+	lent, borrowed []loan
 }
 
 // usedAtStart is the part of the allowance that counts as used when a process starts,
@@ -45,20 +62,60 @@
 	s.firsts[s.now]++
 }
 
-// Repeat asks for one more send of a request and reports whether the VM's part
-// allows it. vms is the number of VMs that share the allowance.
+// Repeat asks for one more send of a request and reports whether the VM's part or what
+// it borrowed allows it. vms is the number of VMs that share the allowance.
 func (s *Share) Repeat(now clock.Time, vms int) bool {
+	if s.free(now, vms) >= 1 {
+		s.repeats[s.now]++
+		return true
+	}
+	s.borrowed = current(s.borrowed, now)
+	if len(s.borrowed) == 0 {
+		return false
+	}
+	if s.borrowed[0].repeats--; s.borrowed[0].repeats < 1 {
+		s.borrowed = s.borrowed[1:]
+	}
+	return true
+}
+
+// Lend takes up to half of what is free in the VM's part out of it for another VM, n
+// at most, and returns how many repeats that are.
+func (s *Share) Lend(now clock.Time, vms, n int) int {
+	lent := min(n, int(s.free(now, vms)/2))
+	if lent <= 0 {
+		return 0
+	}
+	step := max(1, s.limits.Window/buckets)
+	s.lent = append(s.lent, loan{float64(lent), now.Add(s.limits.Window + loanLife + step)})
+	return lent
+}
+
+// Borrow adds repeats that another VM has lent just now.
+func (s *Share) Borrow(now clock.Time, n int) {
+	if n > 0 {
+		s.borrowed = append(current(s.borrowed, now), loan{float64(n), now.Add(loanLife)})
+	}
+}
+
+// free returns what is left of the VM's part.
+func (s *Share) free(now clock.Time, vms int) float64 {
 	s.slide(now)
-	var firsts, repeats float64
+	var firsts, used float64
 	for i := range buckets {
 		firsts += s.firsts[i]
-		repeats += s.repeats[i]
+		used += s.repeats[i]
 	}
-	if repeats+1 > prudence*s.limits.Ratio*firsts+s.allowance(vms) {
-		return false
+	s.lent = current(s.lent, now)
+	for _, l := range s.lent {
+		used += l.repeats
 	}
-	s.repeats[s.now]++
-	return true
+	return prudence*s.limits.Ratio*firsts + s.allowance(vms) - used
+}
+
+// current returns the loans that have not run out.
+func current(loans []loan, now clock.Time) []loan {
+	return slices.DeleteFunc(loans, func(l loan) bool { return !now.Before(l.until) })
 }
 
 func (s *Share) allowance(vms int) float64 {
--- a/internal/request/retryshare/retryshare_test.go
+++ b/internal/request/retryshare/retryshare_test.go
@@ -13,7 +13,7 @@
 var limits = retryshare.Limits{Ratio: 0.2, Allowance: 200, Window: 10 * clock.Second}
 
 // TestAllVMsTogetherStayWithinTheBound lets nine VMs repeat whenever they may, with
-// uneven traffic and restarts.
+// uneven traffic, restarts and loans, of which some get lost on the way.
 func TestAllVMsTogetherStayWithinTheBound(t *testing.T) {
 	const vms = 9
 	src := rng.New(1)
@@ -31,8 +31,11 @@
 		shares[i].First(now)
 		all = append(all, sent{at: now})
 		for range 3 {
-			if shares[src.IntN(vms)].Repeat(now, vms) {
+			share := shares[src.IntN(vms)]
+			if share.Repeat(now, vms) {
 				all = append(all, sent{at: now, repeat: true})
+			} else if lent := shares[src.IntN(vms)].Lend(now, vms, 1+src.IntN(20)); src.IntN(4) > 0 {
+				share.Borrow(now, lent)
 			}
 		}
 		if now%7_000 == 0 {
@@ -50,3 +53,28 @@
 	}
 	assert.Assert(t, len(all) > 6000+500, "repeats were hardly allowed: %d", len(all))
 }
+
+// TestLoansLetOneVMUseThePartsOfOthers lets one VM have all the requests that must be
+// sent again at once.
+func TestLoansLetOneVMUseThePartsOfOthers(t *testing.T) {
+	const vms, need = 9, 100
+	shares := make([]*retryshare.Share, vms)
+	for i := range shares {
+		shares[i] = retryshare.New(limits, 0, vms)
+	}
+	now := clock.Time(0).Add(limits.Window + clock.Second) // What counts as used at the start has passed.
+	sent := 0
+	for sent < need && shares[0].Repeat(now, vms) {
+		sent++
+	}
+	assert.Assert(t, sent < need/5, "%d without a loan", sent)
+	for _, lender := range shares[1:] {
+		shares[0].Borrow(now, lender.Lend(now, vms, need-sent))
+	}
+	for sent < need && shares[0].Repeat(now, vms) {
+		sent++
+	}
+	assert.Assert(t, float64(sent) > limits.Allowance*0.4, "%d with loans", sent)
+	shares[0].Borrow(now, shares[1].Lend(now, vms, need))
+	assert.Assert(t, !shares[0].Repeat(now.Add(clock.Second), vms), "a loan was used after its life")
+}
