Let a VM that starts again ask the upstreams that it knew before

Cause: after all VMs had lost power nobody knew an upstream until each announced itself, up to a second after the VMs were ready. Ruled out: tables (known 0.4 s after the start, before the engines) and the way of news between VMs (a few ms). Change: a VM with a disk writes down who it knows (at most once in 2 s, a whole file in place of the last one). After a start it first takes what other VMs tell, and asks the rest, under their own names, whether they take requests and which layers they hold. Nothing is believed from the file alone. A recalled upstream has a lease of 3 s until it announces itself. Now the first announcement after a recall is told, and a recalled entry keeps the order before its own, so that its end loses against any later announcement; a test tells a third VM all in every order and fails without either.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -40,6 +40,7 @@
 	expires   clock.Time // 0 while a live home vouches for it.
 	told      uint64     // Sequence of the newest announcement that others are told of.
 	gone      bool
+	recalled  bool // It has not announced itself since this VM started.
 }
 
 // Registry is the set of upstreams. It is not safe for concurrent use.
@@ -82,7 +83,7 @@
 	if u != nil && a.Sequence <= u.Sequence {
 		return false
 	}
-	changed := u == nil || u.gone || u.Home != r.vm || materially(u.Announcement, a)
+	changed := u == nil || u.gone || u.recalled || u.Home != r.vm || materially(u.Announcement, a)
 	next := r.replace(now, u, a, r.vm)
 	next.expires = now.Add(min(r.maxLease, max(MinLease, clock.Duration(a.LeaseMs))))
 	if u != nil {
@@ -95,6 +96,25 @@
 	return changed
 }
 
+// Recall takes an announcement from before this VM's start, of an upstream that has just
+// answered. It reports whether the upstream was not known, so that others must be told.
+//
+// Other VMs may recall the same upstream, and only one hears its next announcement. The
+// sequence before the recalled one is kept, so that the end of a recalled lease, which
+// counts one higher, is overtaken by that announcement in whatever order they arrive.
+func (r *Registry) Recall(now clock.Time, a *upstreampb.Announcement) bool {
+	if u := r.upstreams[a.Id]; u != nil {
+		return false
+	}
+	a = proto.CloneOf(a)
+	a.Sequence--
+	if !r.Announce(now, a) {
+		return false
+	}
+	r.upstreams[a.Id].recalled = true
+	return true
+}
+
 // Digest takes a home VM's word about an upstream. It reports whether it was
 // news that should be passed on.
 func (r *Registry) Digest(now clock.Time, d *fleetpb.Digest) bool {
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -1,11 +1,13 @@
 package registry_test
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/fleet/registry"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
@@ -52,3 +54,38 @@
 	_, live = other.Get("e1")
 	assert.Assert(t, !live)
 }
+
+// TestUpstreamRecalledByTwoVMsStaysWithEveryone lets two VMs that start again recall an
+// upstream, of which one hears its next announcement and the other does not in time. A
+// third VM is told all in every order.
+func TestUpstreamRecalledByTwoVMsStaysWithEveryone(t *testing.T) {
+	before := announce(50, false)
+	a, b := registry.New("a"), registry.New("b")
+	assert.Assert(t, a.Recall(0, before) && b.Recall(0, before))
+	told := []*fleetpb.Digest{a.DigestOf(0, "e1"), b.DigestOf(0, "e1")}
+	assert.Assert(t, a.Announce(500, announce(51, false)), "others must learn of the first announcement")
+	told = append(told, a.DigestOf(500, "e1"))
+	told = append(told, b.Expire(1000)...)
+	assert.Equal(t, len(told), 4)
+	var tell func(c []*fleetpb.Digest, rest []*fleetpb.Digest)
+	tell = func(order, rest []*fleetpb.Digest) {
+		if len(rest) == 0 {
+			c := registry.New("c")
+			for _, d := range order {
+				c.Digest(1100, d)
+			}
+			u, live := c.Get("e1")
+			assert.Assert(t, live, "%v", order)
+			assert.Equal(t, u.Home, "a")
+			return
+		}
+		for i := range rest {
+			tell(append(slices.Clone(order), rest[i]), slices.Delete(slices.Clone(rest), i, i+1))
+		}
+	}
+	tell(nil, told)
+	// The one that let it end has it again.
+	b.Digest(1200, told[2])
+	_, live := b.Get("e1")
+	assert.Assert(t, live)
+}
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -275,6 +275,10 @@
 	return nil
 }
 
+// Introduced reports whether other VMs have told the upstreams that they know, or none
+// did in time.
+func (p *Plane) Introduced() bool { return p.transport == nil || p.introduced.Load() }
+
 // SendRaft implements replica.Sender.
 func (p *Plane) SendRaft(vm string, m *fleetpb.RaftMessage) {
 	if address, ok := p.address(vm); ok {
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -19,11 +19,13 @@
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/journal"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/node/controlplane"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/node/detector"
 	"github.com/jasminecove/jasminecove/internal/node/placer"
+	"github.com/jasminecove/jasminecove/internal/node/rejoin"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/node/telemetry"
 	"github.com/jasminecove/jasminecove/internal/request/forward"
@@ -64,8 +66,9 @@
 	Dialect forward.Dialect
 	// Parse reads a tables document.
 	Parse func(document []byte) (*tables.Document, error)
-	// Engines reaches engines, through the pool of connections that it is given.
-	Engines func(pool *call.Pool) placer.API
+	// Upstreams asks upstreams and gives engines orders, through the pool of connections
+	// that it is given.
+	Upstreams func(pool *call.Pool) Upstreams
 	// ControlHandler serves upstreams and operators.
 	ControlHandler func(r *Router) http.Handler
 	Retries        retryshare.Limits
@@ -74,6 +77,12 @@
 	Out      io.Writer
 }
 
+// Upstreams asks upstreams and gives engines orders.
+type Upstreams interface {
+	placer.API
+	rejoin.API
+}
+
 // Router is the process of one VM.
 type Router struct {
 	cfg        Config
@@ -84,7 +93,7 @@
 	catalog    *catalog.Catalog
 	plane      *controlplane.Plane
 	pool       *call.Pool
-	engines    placer.API
+	upstreams  Upstreams
 	handler    *forward.Handler
 	callers    *http.Server
 	servers    []*http.Server
@@ -124,12 +133,12 @@
 		return nil, err
 	}
 	r.catalog.SetVMs(r.vms)
-	r.engines = cfg.Engines(r.pool)
-	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.engines, Prober: r.pool, Log: r.log, Go: r.task})
+	r.upstreams = cfg.Upstreams(r.pool)
+	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.upstreams, Prober: r.pool, Log: r.log, Go: r.task})
 	r.handler = forward.New(forward.Config{
 		Dialect: cfg.Dialect, DataCentre: s.DataCentre, Clock: r.clock, Source: rng.New(src.Uint64()), Catalog: r.catalog, Pool: r.pool,
 		Retries: cfg.Retries, Lenders: r.plane, VMs: r.vms, Ready: r.known, Closing: r.draining.Load, Stalled: detect.Stalled, Suspected: detect.Verify,
-		Repath: r.engines.Repath, Log: r.log, Metrics: r.tel.Metrics,
+		Repath: r.upstreams.Repath, Log: r.log, Metrics: r.tel.Metrics,
 	})
 	return r, nil
 }
@@ -170,13 +179,31 @@
 		r.countVMs()
 		r.shareOccupancy(sequence)
 	})
-	c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.engines, Log: r.log}
+	c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.upstreams, Log: r.log}
 	r.task(func() { c.Run(ctx) })
+	if err := r.recall(ctx); err != nil {
+		r.Stop()
+		return err
+	}
 	r.log.Decision("started", r.cfg.Settings.VM, "dataCentre", r.cfg.Settings.DataCentre, "callers", r.cfg.Callers, "control", r.cfg.Control,
 		"fleet", r.plane.FleetAddress(), "disk", r.cfg.Settings.DataFolder != "", "firstStart", r.cfg.Settings.Fleet.FirstStart)
 	return nil
 }
 
+// recall lets a VM with a disk know the upstreams that it knew before its end.
+func (r *Router) recall(ctx context.Context) error {
+	if r.cfg.Settings.DataFolder == "" {
+		return nil
+	}
+	disk, err := journal.Folder(r.cfg.Settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	k := &rejoin.Keeper{Disk: disk, Catalog: r.catalog, API: r.upstreams, Log: r.log, Introduced: r.plane.Introduced}
+	r.task(func() { k.Run(ctx) })
+	return nil
+}
+
 func (r *Router) listen(address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -88,11 +88,20 @@
 // later start has overtaken changes nothing.
 func (c *Catalog) Announce(a *upstreampb.Announcement) {
 	a.Sequence = a.StartedMs<<sequenceBits | min(a.Sequence, 1<<sequenceBits-1)
+	c.learn(a, c.registry.Announce)
+}
+
+// Recall takes an announcement as Announcements returned it before this VM's start, of
+// an upstream that still takes requests. One that was heard of since stays as it is.
+func (c *Catalog) Recall(a *upstreampb.Announcement) { c.learn(a, c.registry.Recall) }
+
+// learn gives the registry an announcement and tells what is new.
+func (c *Catalog) learn(a *upstreampb.Announcement, into func(clock.Time, *upstreampb.Announcement) bool) {
 	var change Change
 	c.mu.Lock()
 	now := c.clock.Now()
 	was, known := c.registry.Get(a.Id)
-	if c.registry.Announce(now, a) {
+	if into(now, a) {
 		change.Digests = append(change.Digests, c.registry.DigestOf(now, a.Id))
 	}
 	is, live := c.registry.Get(a.Id)
@@ -228,6 +237,24 @@
 	return c.registry.Get(id)
 }
 
+// Version grows with each change of an upstream that matters to routing.
+func (c *Catalog) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registry.Version()
+}
+
+// Announcements returns the newest announcement of each live upstream.
+func (c *Catalog) Announcements() []*upstreampb.Announcement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*upstreampb.Announcement
+	for _, u := range c.registry.All() {
+		out = append(out, c.withPlaced(u).Announcement)
+	}
+	return out
+}
+
 // Members returns the live upstreams of a service, sorted by id.
 func (c *Catalog) Members(service string) []*registry.Upstream {
 	c.mu.Lock()
