Tell a new leader and dead upstreams at once, and ask every replica in turn

Cause 1: after all VMs were killed, a leader stood 0.4 s after their start, and VMs knew the tables 0.13 to 0.4 s later: their calls for the present paused up to 0.2 s between tries. Change: the first stamp of a leader's term floods at once, and wakes calls that wait. Cause 2, found by the test of that: with two replicas that both think a dead VM leads, every other try goes to the dead one, and the turn, which counted these tries too, always fell on the same replica. The other was never asked, 10 s long. Change: tries of a VM that is only thought to lead take nobody's turn. Change: such a finding is told at once. Tests fail without each of the first two changes.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,15 +53,32 @@
 	local func() *replica.Replica // Returns nil while the VM has no replica.
 	fleet Fleet
 	hint  atomic.Value // VM that is thought to lead, a string.
+
+	mu   sync.Mutex
+	wake chan struct{} // Closed by the next Nudge.
 }
 
 // New returns a client. local returns the VM's own replica or nil.
 func New(vm string, clk clock.Clock, local func() *replica.Replica, fleet Fleet) *Client {
-	c := &Client{vm: vm, clock: clk, local: local, fleet: fleet}
+	c := &Client{vm: vm, clock: clk, local: local, fleet: fleet, wake: make(chan struct{})}
 	c.hint.Store("")
 	return c
 }
 
+// Nudge lets calls that wait between two tries go on, because a leader was heard of.
+func (c *Client) Nudge() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.wake)
+	c.wake = make(chan struct{})
+}
+
+func (c *Client) nudged() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wake
+}
+
 // Propose commits a command.
 func (c *Client) Propose(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.Result, error) {
 	cmd.AtMs = int64(c.clock.Now())
@@ -117,8 +135,10 @@
 	}
 	pause := firstPause
 	var last error
+	turn := 0
 	for try := 0; ; try++ {
-		vm := c.choose(try)
+		nudged := c.nudged()
+		vm := c.choose(&turn)
 		reply, err := c.ask(ctx, vm, call)
 		switch {
 		case err == nil && reply.Code == fleetpb.Reply_OK:
@@ -140,15 +160,17 @@
 		select {
 		case <-ctx.Done():
 			return nil, errors.Join(ErrUnavailable, last)
+		case <-nudged:
+			pause = firstPause
 		case <-time.After(pause):
 			pause = min(maxPause, pause*2)
 		}
 	}
 }
 
-// choose returns the VM to try: the one that is thought to lead, then all that
-// have a replica in turn.
-func (c *Client) choose(try int) string {
+// choose returns the VM to try: the one that is thought to lead, then all that have a
+// replica in turn. Tries of a VM that is only thought to lead take nobody's turn.
+func (c *Client) choose(turn *int) string {
 	if hint := c.hint.Load().(string); hint != "" {
 		return hint
 	}
@@ -156,7 +178,8 @@
 	if len(vms) == 0 {
 		return c.vm
 	}
-	return vms[try%len(vms)]
+	*turn++
+	return vms[*turn%len(vms)]
 }
 
 func (c *Client) ask(ctx context.Context, vm string, call *fleetpb.Call) (*fleetpb.Reply, error) {
--- /dev/null
+++ b/internal/control/client/client_test.go
@@ -0,0 +1,73 @@
+package client_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/control/client"
+	"github.com/jasminecove/jasminecove/internal/control/replica"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// election is a fleet whose replicas have no leader at first. The VM that one of them
+// thinks to lead does not answer.
+type election struct {
+	leads atomic.Bool
+	calls atomic.Int64
+}
+
+func (e *election) Call(_ context.Context, vm string, _ *fleetpb.Call) (*fleetpb.Reply, error) {
+	e.calls.Add(1)
+	switch {
+	case vm == "dead":
+		return nil, context.DeadlineExceeded
+	case vm == "b" && e.leads.Load():
+		return &fleetpb.Reply{Code: fleetpb.Reply_OK}, nil
+	}
+	return &fleetpb.Reply{Code: fleetpb.Reply_NOT_LEADER, Leader: "dead"}, nil
+}
+
+func (e *election) Replicas() []string { return []string{"a", "b"} }
+
+func (e *election) Boot(string) (uint64, bool, bool) { return 1, false, true }
+
+func newClient(e *election) *client.Client {
+	return client.New("caller", clock.NewSystem(), func() *replica.Replica { return nil }, e)
+}
+
+// TestNudgedCallReachesTheNewLeaderAtOnce nudges a call whose pauses have grown.
+func TestNudgedCallReachesTheNewLeaderAtOnce(t *testing.T) {
+	e := &election{}
+	c := newClient(e)
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Read(t.Context(), &fleetpb.ReadState{Tables: true})
+		done <- err
+	}()
+	time.Sleep(time.Second)
+	e.leads.Store(true)
+	began := time.Now()
+	for range 4 {
+		// Each try goes to the next replica.
+		c.Nudge()
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.NilError(t, <-done)
+	assert.Assert(t, time.Since(began) < 100*time.Millisecond, "%s", time.Since(began))
+}
+
+// TestEveryReplicaIsAskedBesidesADeadLeader has two replicas that both name a dead VM as
+// leader until the second leads.
+func TestEveryReplicaIsAskedBesidesADeadLeader(t *testing.T) {
+	e := &election{}
+	e.leads.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err := newClient(e).Read(ctx, &fleetpb.ReadState{Tables: true})
+	assert.NilError(t, err, "%d calls", e.calls.Load())
+}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -46,6 +46,9 @@
 	forgetDead = 2 * clock.Hour
 )
 
+// StampTermShift leaves room for a term's stamps below the next term's.
+const StampTermShift = 40
+
 // entry is what is known of one VM.
 type entry struct {
 	member *fleetpb.Member
@@ -117,7 +120,8 @@
 			t.heard = now
 		}
 	case StampMsg:
-		c.stamp = max(c.stamp, m.Stamp)
+		c.takeStamp(m.Stamp)
+		c.flush()
 	case LeaveMsg:
 		c.left = true
 		c.changeSelf(func(s *fleetpb.Member) { s.State = fleetpb.Member_LEFT })
@@ -256,8 +260,7 @@
 		c.revision = m.Revision
 		c.out.Revision = m.Revision
 	}
-	if m.Stamp > c.stamp {
-		c.stamp = m.Stamp
+	if c.takeStamp(m.Stamp) {
 		c.out.Stamp = m.Stamp
 	}
 	if len(m.Digests) > 0 {
@@ -272,6 +275,18 @@
 	}
 }
 
+// takeStamp keeps a newer stamp and reports whether it is one. The first of a leader's
+// term is told at once, because calls wait for a leader; later ones go with other
+// messages.
+func (c *Core) takeStamp(stamp uint64) bool {
+	if stamp <= c.stamp {
+		return false
+	}
+	c.tell = c.tell || stamp>>StampTermShift > c.stamp>>StampTermShift
+	c.stamp = stamp
+	return true
+}
+
 func (c *Core) setRevision(revision uint64) {
 	if revision <= c.self.Revision {
 		return
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -27,11 +27,12 @@
 	boots int
 	bytes int
 	heard map[string]map[string]clock.Time // When each VM heard of each digest.
+	stamp map[string]uint64                // Newest stamp that each VM heard.
 }
 
 func newFleet(seed uint64, n, dataCentres int, faults lossy.Faults) *fleet {
 	src := rng.New(seed)
-	f := &fleet{now: 1000, src: src, net: lossy.New[*fleetpb.GossipMessage](src, faults), cores: map[string]*gossip.Core{}, heard: map[string]map[string]clock.Time{}}
+	f := &fleet{now: 1000, src: src, net: lossy.New[*fleetpb.GossipMessage](src, faults), cores: map[string]*gossip.Core{}, heard: map[string]map[string]clock.Time{}, stamp: map[string]uint64{}}
 	for i := range n {
 		vm := fmt.Sprintf("vm%03d", i)
 		f.names = append(f.names, vm)
@@ -62,6 +63,9 @@
 	if len(news) > 0 {
 		f.carry(vm, f.cores[vm].Update(f.now, gossip.DigestsMsg{Digests: news, Except: e.From}))
 	}
+	if e.Stamp > 0 {
+		f.stamp[vm] = e.Stamp
+	}
 	if e.Revision > 0 {
 		f.carry(vm, f.cores[vm].Update(f.now, gossip.RevisionMsg{Revision: e.Revision}))
 	}
@@ -211,6 +215,19 @@
 
 // TestRandomFleets lets VMs die, start and part at random and checks that all
 // agree in the end.
+// TestNewLeaderIsToldAtOnce has a VM of a large fleet, whose pings are a second apart,
+// stamp a new term.
+func TestNewLeaderIsToldAtOnce(t *testing.T) {
+	f := newFleet(7, 30, 3, lossy.Faults{MinDelay: 1, MaxDelay: 5})
+	f.awaitAgreement(t, 30*clock.Second)
+	stamp := uint64(3) << gossip.StampTermShift
+	f.carry("vm004", f.cores["vm004"].Update(f.now, gossip.StampMsg{Stamp: stamp}))
+	f.advance(200)
+	for _, vm := range f.names {
+		assert.Assert(t, vm == "vm004" || f.stamp[vm] == stamp, "%s does not know", vm)
+	}
+}
+
 func TestRandomFleets(t *testing.T) {
 	for _, seed := range seeded.Seeds(t, 20) {
 		n := 5 + int(seed%12)
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -26,9 +26,6 @@
 	manyVMsFactor = 12
 )
 
-// stampTermShift leaves room for a term's stamps below the next term's.
-const stampTermShift = 40
-
 // A VM that starts asks as many others as introducers for upstreams, and is not ready
 // before that, or before introduceWithin has passed.
 const (
@@ -68,7 +65,7 @@
 			stampAt = now
 			stamps++
 			p.stampedAt.Store(int64(now))
-			p.update(gossip.StampMsg{Stamp: st.Term<<stampTermShift + stamps})
+			p.update(gossip.StampMsg{Stamp: st.Term<<gossip.StampTermShift + stamps})
 		}
 	})
 }
@@ -89,6 +86,7 @@
 	}
 	if e.Stamp > 0 {
 		p.stampedAt.Store(int64(p.cfg.Clock.Now()))
+		p.client.Nudge()
 	}
 	for _, ev := range e.Events {
 		p.memberChanged(ev)
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -99,18 +99,19 @@
 	servers    []*http.Server
 	started    uint64
 
-	draining atomic.Bool
-	vmCount  atomic.Int64
-	mu       sync.Mutex
-	ready    bool // Readiness as it was last told.
-	tasks    sync.WaitGroup
-	cancel   context.CancelFunc
+	draining  atomic.Bool
+	foundDead chan struct{} // Has an item when an upstream was found dead.
+	vmCount   atomic.Int64
+	mu        sync.Mutex
+	ready     bool // Readiness as it was last told.
+	tasks     sync.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // New prepares a VM's process.
 func New(cfg Config) (*Router, error) {
 	s := cfg.Settings
-	r := &Router{cfg: cfg, clock: clock.NewSystem(), pool: call.NewPool()}
+	r := &Router{cfg: cfg, clock: clock.NewSystem(), pool: call.NewPool(), foundDead: make(chan struct{}, 1)}
 	r.started = uint64(r.clock.Now())
 	r.log = decision.New(s.VM, hclog.LevelFromString(s.Telemetry.LogLevel), cfg.Out)
 	var err error
@@ -173,12 +174,7 @@
 	}
 	r.every(ctx, leaseTick, r.catalog.Tick)
 	r.every(ctx, sweepEvery, r.pool.Sweep)
-	sequence := uint64(0)
-	r.every(ctx, occupancyEvery, func() {
-		sequence++
-		r.countVMs()
-		r.shareOccupancy(sequence)
-	})
+	r.task(func() { r.occupancyLoop(ctx) })
 	c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.upstreams, Log: r.log}
 	r.task(func() { c.Run(ctx) })
 	if err := r.recall(ctx); err != nil {
@@ -368,12 +364,33 @@
 	}
 	for _, id := range c.Dead {
 		r.log.Decision("upstreamDead", id)
+		select {
+		case r.foundDead <- struct{}{}:
+		default:
+		}
 	}
 	if len(c.Digests) > 0 {
 		r.plane.TellDigests(c.Digests)
 	}
 }
 
+// occupancyLoop tells other VMs regularly what this one's requests hold, and at once
+// when an upstream was found dead, because running requests wait for that.
+func (r *Router) occupancyLoop(ctx context.Context) {
+	ticker := time.NewTicker(occupancyEvery)
+	defer ticker.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.foundDead:
+		}
+		r.countVMs()
+		r.shareOccupancy(sequence)
+	}
+}
+
 // shareOccupancy tells other VMs what this one's requests hold.
 func (r *Router) shareOccupancy(sequence uint64) {
 	o := r.catalog.Occupancy()
