--- a/internal/cli/command/read.go
+++ b/internal/cli/command/read.go
@@ -112,29 +112,39 @@
 		if len(args) != 1 {
 			return usage("give one request id")
 		}
-		return explainLogs(streams, strings.Split(logs, ","), args[0])
+		return explainLogs(streams, logs, args[0])
 	}
 	return c
 }
 
-// explainLogs prints a request's story from log files.
-func explainLogs(streams Streams, files []string, id string) error {
+// readLogs reads the decisions in log files, whose names have commas between; - stands
+// for standard input.
+func readLogs(names string) ([]logstory.Line, error) {
 	var in []io.Reader
-	for _, name := range files {
+	for _, name := range strings.Split(names, ",") {
 		if name == "-" {
 			in = append(in, os.Stdin)
 			continue
 		}
 		f, err := os.Open(name)
 		if err != nil {
-			return exit(ExitInvalid, fmt.Errorf("open log: %w", err))
+			return nil, exit(ExitInvalid, fmt.Errorf("open log: %w", err))
 		}
 		defer func() { _ = f.Close() }()
 		in = append(in, f)
 	}
 	lines, err := logstory.Read(in...)
 	if err != nil {
-		return exit(ExitInvalid, err)
+		return nil, exit(ExitInvalid, err)
+	}
+	return lines, nil
+}
+
+// explainLogs prints a request's story from log files.
+func explainLogs(streams Streams, names, id string) error {
+	lines, err := readLogs(names)
+	if err != nil {
+		return err
 	}
 	story, err := logstory.Story(lines, id)
 	if err != nil {
--- a/internal/cli/logstory/logstory.go
+++ b/internal/cli/logstory/logstory.go
@@ -94,7 +94,7 @@
 	for _, l := range lines {
 		if l.ID == id {
 			own = append(own, l)
-			upstreams[l.text("upstream")] = true
+			upstreams[l.Text("upstream")] = true
 		}
 	}
 	if len(own) == 0 {
@@ -105,7 +105,7 @@
 	var story []Line
 	for _, l := range lines {
 		near := l.At.After(first) && l.At.Before(last)
-		if l.ID == id || near && (upstreams[l.ID] || upstreams[l.text("reportedBy")]) {
+		if l.ID == id || near && (upstreams[l.ID] || upstreams[l.Text("reportedBy")]) {
 			story = append(story, l)
 		}
 	}
@@ -122,11 +122,18 @@
 	return l.At
 }
 
-func (l Line) text(key string) string {
+// Text returns an input that is a text, or "".
+func (l Line) Text(key string) string {
 	s, _ := l.Inputs[key].(string)
 	return s
 }
 
+// Span returns an input that is a number of milliseconds, or 0.
+func (l Line) Span(key string) time.Duration {
+	ms, _ := l.Inputs[key].(float64)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // String formats a line with its inputs in a fixed order.
 func (l Line) String() string {
 	keys := make([]string, 0, len(l.Inputs))
@@ -157,12 +164,12 @@
 		switch {
 		case l.ID == id && (l.Decision == "answered" || l.Decision == "failed"):
 			end = l
-		case l.ID == id && l.text("cause") != "":
-			runs = append(runs, l.text("upstream")+": "+l.text("cause"))
-		case l.ID == id && l.text("error") != "":
-			runs = append(runs, l.text("upstream")+": "+l.text("error"))
+		case l.ID == id && l.Text("cause") != "":
+			runs = append(runs, l.Text("upstream")+": "+l.Text("cause"))
+		case l.ID == id && l.Text("error") != "":
+			runs = append(runs, l.Text("upstream")+": "+l.Text("error"))
 		case l.Decision == "upstreamSuspected":
-			runs = append(runs, l.ID+" was found dead: "+l.text("reason"))
+			runs = append(runs, l.ID+" was found dead: "+l.Text("reason"))
 		}
 	}
 	slices.Sort(runs)
@@ -177,7 +184,7 @@
 		}
 		return text
 	}
-	text := fmt.Sprintf("cause: %s (%s)", strings.ReplaceAll(end.text("cause"), "\n", "; "), end.text("outcome"))
+	text := fmt.Sprintf("cause: %s (%s)", strings.ReplaceAll(end.Text("cause"), "\n", "; "), end.Text("outcome"))
 	if end.Inputs["callerLeft"] == true {
 		text = fmt.Sprintf("cause: the caller left after %v ms", end.Inputs["tookMs"])
 	}
