Fetch tables compressed from any VM that has them in force

Each asked the leader for the whole tables: 20 MB over its link of 100 Mbit/s, beside the voters' own messages. Tries ended after 2 s and were made again, so that the link carried little that arrived: the present was known on 11 of 77 VMs after 15 s, 8228 requests were refused, two changes of the voters were 18 s apart. Ruled out: the election (the leader knew the present after 0.4 s), the disks. Change: the quorum tells the number only. The document comes from any VM that the gossip says has it in force, chosen at random, so that the sources double with each round, and is compressed even without a base in common. The test starts nine VMs with tables of 327 kB: the leader sent 2.6 MB before; now no VM sends as much as the tables have. A run that ends early logs its whole path: which engine of it swallows requests could not be told from the first engine and the number of hops.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -238,7 +238,10 @@
 			reply.Claim = s.Claim(rd.ClaimKey)
 		}
 		if rd.Tables {
-			reply.State = &fleetpb.RevisionNotice{Number: s.Revision().GetNumber(), Revision: s.Revision()}
+			reply.State = &fleetpb.RevisionNotice{Number: s.Revision().GetNumber()}
+			if !rd.NumberOnly {
+				reply.State.Revision = s.Revision()
+			}
 		}
 		if rd.Revision > 0 {
 			past, ok := s.RevisionAt(rd.Revision)
--- a/internal/control/patch/patch.go
+++ b/internal/control/patch/patch.go
@@ -13,10 +13,12 @@
 // dictionaryID marks the dictionary in a patch.
 const dictionaryID = 1
 
-// maxBytes bounds a document that a patch unfolds to.
-const maxBytes = 4 << 20
+// maxBytes bounds a document that a patch unfolds to: twice the largest message between
+// VMs.
+const maxBytes = 32 << 20
 
-// Make returns the patch that turns base into next.
+// Make returns the patch that turns base into next. Without a base it is next
+// compressed.
 func Make(base, next []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := zstd.NewWriter(&out, zstd.WithEncoderDictRaw(dictionaryID, base), zstd.WithEncoderConcurrency(1),
--- a/internal/control/patch/patch_test.go
+++ b/internal/control/patch/patch_test.go
@@ -58,3 +58,13 @@
 		})
 	}
 }
+
+func TestDocumentWithoutABaseIsCompressed(t *testing.T) {
+	next := document(300)
+	p, err := patch.Make(nil, []byte(next))
+	assert.NilError(t, err)
+	assert.Assert(t, len(p) < len(next)/4, "%d of %d bytes", len(p), len(next))
+	got, err := patch.Apply(nil, p)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), next)
+}
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -34,6 +34,7 @@
 	ErrUnknownVM = fault.Sentinel("controlplane: the VM is not known")
 	ErrKeysVM    = fault.Sentinel("controlplane: the certificate is another VM's")
 	ErrNotYet    = fault.Sentinel("controlplane: the present tables are not known yet")
+	ErrBase      = fault.Sentinel("controlplane: the tables are told as a change of others")
 	ErrStale     = fault.Sentinel("controlplane: the view of the control state is too old")
 )
 
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -73,17 +73,20 @@
 	}
 }
 
-// learnPresent asks the quorum for the tables in force. A VM is ready only after
-// that, so that a restart never serves the past.
+// learnPresent asks the quorum for the number of the tables in force, and has them
+// fetched. A VM is ready only after that, so that a restart never serves the past.
 func (p *Plane) learnPresent(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := p.client.Read(ctx, &fleetpb.ReadState{Tables: true})
+	reply, err := p.client.Read(ctx, &fleetpb.ReadState{Tables: true, NumberOnly: true})
 	if err != nil {
 		return false
 	}
-	if rev := reply.GetState().GetRevision(); rev != nil {
-		p.install(rev)
+	p.wantRevision(reply.GetState().GetNumber(), "")
+	for p.behind() && !p.fetch(ctx) {
+		if delay.Wait(ctx, fetchPause) != nil {
+			return false
+		}
 	}
 	p.stampedAt.Store(int64(p.cfg.Clock.Now()))
 	p.confirmed.Store(true)
@@ -96,59 +99,92 @@
 	return w != nil && w.number > p.Current().GetNumber()
 }
 
-// fetch asks the VM that told of a newer revision, or the quorum when that VM does not
-// answer with it. It reports whether the wanted revision is here.
+// fetch asks a VM that has the wanted revision in force for it: the one that told of it,
+// or any, so that many VMs that need it at once spread over all that have it. It
+// reports whether the revision is here.
 func (p *Plane) fetch(ctx context.Context) bool {
 	w := p.wanted.Load()
+	vm := w.vm
+	if vm != "" {
+		p.wanted.CompareAndSwap(w, &want{number: w.number}) // Any, the next time.
+	} else {
+		holders := p.holders(w.number)
+		if len(holders) == 0 {
+			return false
+		}
+		vm = holders[p.random(len(holders))]
+	}
 	present := p.Current()
-	short, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if w.vm != "" {
-		ask := &fleetpb.ReadState{Tables: true, Local: true, Have: present.GetNumber()}
-		reply, err := p.callVM(short, w.vm, &fleetpb.Call{From: p.cfg.Settings.VM, Body: &fleetpb.Call_Read{Read: ask}})
-		if err == nil {
-			if rev, ok := unfold(present, reply.GetState()); ok {
-				p.install(rev)
-			}
-		}
-		if !p.behind() {
-			return true
-		}
+	ask := &fleetpb.ReadState{Tables: true, Local: true, Have: present.GetNumber()}
+	reply, err := p.callVM(ctx, vm, &fleetpb.Call{From: p.cfg.Settings.VM, Body: &fleetpb.Call_Read{Read: ask}})
+	if err != nil || reply.Code != fleetpb.Reply_OK {
+		p.log.Debug("tables not fetched", "vm", vm, "code", reply.GetCode(), "error", err)
+		return false
 	}
-	reply, err := p.client.Read(short, &fleetpb.ReadState{Tables: true})
-	if err != nil || reply.GetState().GetRevision() == nil {
+	rev, err := unfold(present, reply.GetState())
+	if err != nil {
+		p.log.Warn("tables not readable", "vm", vm, "error", err)
 		return false
 	}
-	p.install(reply.State.Revision)
+	if rev != nil {
+		p.install(rev)
+	}
 	return !p.behind()
 }
 
-// unfold returns the revision of a notice, whose document may be a patch.
-func unfold(present *fleetpb.Revision, n *fleetpb.RevisionNotice) (*fleetpb.Revision, bool) {
-	if n.GetRevision() == nil || n.Base == 0 {
-		return n.GetRevision(), n.GetRevision() != nil
+// holders names the other live VMs that have a revision in force.
+func (p *Plane) holders(number uint64) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, m := range p.gossip.Live() {
+		if m.Revision >= number && m.Vm != p.cfg.Settings.VM {
+			out = append(out, m.Vm)
+		}
 	}
-	if present.GetNumber() != n.Base {
-		return nil, false
+	return out
+}
+
+// random returns a number below n.
+func (p *Plane) random(n int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.Source.IntN(n)
+}
+
+// unfold returns the revision of a notice, whose document may be compressed, or nil
+// when the VM that sent it has none.
+func unfold(present *fleetpb.Revision, n *fleetpb.RevisionNotice) (*fleetpb.Revision, error) {
+	if n.GetRevision() == nil || len(n.Patch) == 0 {
+		return n.GetRevision(), nil
+	}
+	var base []byte
+	if n.Base != 0 {
+		if present.GetNumber() != n.Base {
+			return nil, ErrBase
+		}
+		base = present.Document
 	}
-	document, err := patch.Apply(present.Document, n.Patch)
+	document, err := patch.Apply(base, n.Patch)
 	if err != nil {
-		return nil, false
+		return nil, err
 	}
 	rev := proto.CloneOf(n.Revision)
 	rev.Document = document
-	return rev, true
+	return rev, nil
 }
 
 // notice returns the revision in force for a VM that has an earlier one.
 func (p *Plane) notice(have uint64) *fleetpb.RevisionNotice {
 	present := p.Current()
 	n := &fleetpb.RevisionNotice{Number: present.GetNumber(), Revision: present}
-	if data, ok := p.patches.get(have, present); ok {
+	if base, data, ok := p.patches.get(have, present); ok {
 		n.Revision = &fleetpb.Revision{
 			Number: present.Number, ChangeId: present.ChangeId, Author: present.Author, Note: present.Note, AtMs: present.AtMs,
 		}
-		n.Base, n.Patch = have, data
+		n.Base, n.Patch = base, data
 	}
 	return n
 }
@@ -181,22 +217,26 @@
 	}
 }
 
-// get returns the patch from a revision to the present one, if it pays.
-func (c *patchCache) get(have uint64, present *fleetpb.Revision) ([]byte, bool) {
+// get returns the present document compressed with that of a revision as a dictionary,
+// if that is kept, or with none, and the revision or 0.
+func (c *patchCache) get(have uint64, present *fleetpb.Revision) (base uint64, data []byte, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	base, ok := c.documents[have]
-	if !ok || present == nil || have >= present.Number {
-		return nil, false
+	if present == nil || have >= present.Number {
+		return 0, nil, false
+	}
+	document, kept := c.documents[have]
+	if !kept {
+		have = 0
 	}
 	key := [2]uint64{have, present.Number}
 	if data, ok := c.patches[key]; ok {
-		return data, true
+		return have, data, true
 	}
-	data, err := patch.Make(base, present.Document)
+	data, err := patch.Make(document, present.Document)
 	if err != nil || len(data) >= len(present.Document) {
-		return nil, false
+		return 0, nil, false
 	}
 	c.patches[key] = data
-	return data, true
+	return have, data, true
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -335,7 +335,7 @@
 		return
 	}
 	p := t.now()
-	s.h.cfg.Log.Decision("runEnded", s.x.ID, "upstream", t.id, "address", t.address, "hops", len(p.Hops), "status", end.status,
+	s.h.cfg.Log.Decision("runEnded", s.x.ID, "upstream", t.id, "address", t.address, "hops", len(p.Hops), "path", FormatPath(p.Hops), "status", end.status,
 		"notRun", end.notRun, "fault", end.fault, "cause", end.cause.Error(), "lastEvent", s.last, "run", len(s.x.Account.Sends),
 		"estimateFirstMs", p.FirstMs, "estimateTokenMs", p.TokenMs,
 		"atMs", time.Since(s.x.Received).Milliseconds(), "leftMs", int64(left(s.x)))
--- a/internal/standin/local/local_test.go
+++ b/internal/standin/local/local_test.go
@@ -221,3 +221,28 @@
 		assert.Equal(t, n.Violations(), int64(0))
 	}
 }
+
+// TestTablesOfManyVMsDoNotAllCrossTheLeadersLink starts all VMs of a fleet with large
+// tables again. The observers need the whole document at the same moment.
+func TestTablesOfManyVMsDoNotAllCrossTheLeadersLink(t *testing.T) {
+	const vms, routes = 9, 3000
+	f := start(t, vms, 3)
+	var large strings.Builder
+	large.WriteString("routes:\n")
+	for i := range routes {
+		fmt.Fprintf(&large, "  - {name: r%05d, match: {pathPrefix: /r%05d/%x, methods: [POST]}, pool: dispatch, deadline: 10s}\n", i, i, i*2654435761)
+	}
+	large.WriteString("pools:\n  - {name: dispatch, service: dispatch}\n")
+	_, err := operatorOf(t, f, 0).Apply(t.Context(), admin.Change{Base: 1, ChangeID: "large", Author: "amal", Document: large.String()})
+	assert.NilError(t, err)
+	eventually(t, "in force everywhere", inForce(f, 2))
+	for i := range vms {
+		f.StopVM(i)
+	}
+	assert.NilError(t, f.StartAll(context.Background(), readyBound))
+	assert.Assert(t, inForce(f, 2)())
+	for i, n := range f.Nodes {
+		sent := n.Status().Links.SentBytes
+		assert.Assert(t, sent < int64(large.Len()), "VM %d sent %d bytes, the tables have %d", i, sent, large.Len())
+	}
+}
