Count a run that is given up as a slow observation of its engines

What holds these engines up is not known: open. Change: the wait over the estimate counts as an observation of every engine of the path. Test: six requests one after another, an engine that never answers and one that serves: six were held up before, one now. The loop that calls at a fixed span stood twice; it is one, in base/delay.

--- a/internal/base/delay/delay.go
+++ b/internal/base/delay/delay.go
@@ -20,3 +20,17 @@
 		return nil
 	}
 }
+
+// Every calls f at a fixed span until ctx ends.
+func Every(ctx context.Context, span time.Duration, f func()) {
+	ticker := time.NewTicker(span)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
--- a/internal/node/controlplane/demand.go
+++ b/internal/node/controlplane/demand.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
@@ -74,7 +75,7 @@
 
 // demandLoop tells the homes of the demand here, and takes their sums.
 func (p *Plane) demandLoop(ctx context.Context) {
-	every(ctx, demandEvery, func() {
+	delay.Every(ctx, demandEvery, func() {
 		if p.cfg.Limits == nil {
 			return
 		}
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -51,7 +51,7 @@
 // gossipLoop runs the view's timer and, on the leader, its stamps.
 func (p *Plane) gossipLoop(ctx context.Context) {
 	stampAt, stamps := clock.Time(0), uint64(0)
-	every(ctx, gossipTick, func() {
+	delay.Every(ctx, gossipTick, func() {
 		p.update(gossip.TickMsg{})
 		now := p.cfg.Clock.Now()
 		if now.Sub(stampAt) < stampEvery {
@@ -134,7 +134,7 @@
 // that a digest that got lost is made up for.
 func (p *Plane) homesLoop(ctx context.Context) {
 	looks := 0
-	every(ctx, homesLook, func() {
+	delay.Every(ctx, homesLook, func() {
 		p.mu.Lock()
 		targets, vms := p.gossip.Targets(), len(p.gossip.Live())
 		p.mu.Unlock()
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -373,20 +373,6 @@
 	}()
 }
 
-// every calls f at a fixed span until ctx ends.
-func every(ctx context.Context, span time.Duration, f func()) {
-	ticker := time.NewTicker(span)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f()
-		}
-	}
-}
-
 // initialVoters returns the names of the VMs that form a new group.
 func (p *Plane) initialVoters() []string {
 	if voters := p.cfg.Settings.Fleet.Voters; len(voters) > 0 {
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
@@ -172,8 +173,8 @@
 			return err
 		}
 	}
-	r.every(ctx, leaseTick, r.catalog.Tick)
-	r.every(ctx, sweepEvery, r.pool.Sweep)
+	r.task(func() { delay.Every(ctx, leaseTick, r.catalog.Tick) })
+	r.task(func() { delay.Every(ctx, sweepEvery, r.pool.Sweep) })
 	r.task(func() { r.occupancyLoop(ctx) })
 	c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.upstreams, Log: r.log}
 	r.task(func() { c.Run(ctx) })
@@ -226,22 +227,6 @@
 	}()
 }
 
-// every calls f at a fixed span until ctx ends.
-func (r *Router) every(ctx context.Context, span time.Duration, f func()) {
-	r.task(func() {
-		ticker := time.NewTicker(span)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				f()
-			}
-		}
-	})
-}
-
 // Ready returns why the VM should get no new connections, or nil.
 func (r *Router) Ready() error {
 	if r.draining.Load() {
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -495,6 +495,22 @@
 	assert.Equal(t, <-suspects, breaks.address)
 }
 
+// TestEngineThatHoldsRequestsUpIsAvoided has one engine that takes requests and answers
+// none, and another that serves. Requests come one after another.
+func TestEngineThatHoldsRequestsUpIsAvoided(t *testing.T) {
+	f := newFixture(t)
+	block := make(chan struct{})
+	t.Cleanup(func() { close(block) })
+	holds := f.start(t, "e1", "crew", 0, 8, func(*upstream, net.Conn, *http.Request) { <-block })
+	f.start(t, "e2", "crew", 0, 8, events(5, 0))
+	for range 6 {
+		_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+		assert.NilError(t, err)
+		assert.Equal(t, body, wantEvents(1, 5))
+	}
+	assert.Assert(t, holds.runs() <= 1, "%d requests were held up", holds.runs())
+}
+
 // TestRunningRequestIsLedAroundADeadEngine finds a later engine dead. The first one goes
 // on with the request along another path, and no second run begins.
 func TestRunningRequestIsLedAroundADeadEngine(t *testing.T) {
--- a/internal/request/forward/stall.go
+++ b/internal/request/forward/stall.go
@@ -78,6 +78,7 @@
 	case stopped || w.ctx.Err() != nil:
 		return
 	case paused >= patience:
+		w.blame(paused)
 		w.cancel(errStalled)
 		return
 	case paused >= wait && w.s.h.cfg.Stalled != nil && len(w.t.now().Hops) > 0:
@@ -91,6 +92,20 @@
 	}
 }
 
+// blame counts a run that is given up as a slow observation of its engines, so that one
+// of them that holds all its requests up is avoided though it answers questions.
+func (w *stall) blame(paused time.Duration) {
+	w.mu.Lock()
+	estimate := milliseconds64(w.gapMs())
+	if w.since.IsZero() {
+		estimate = milliseconds64(w.t.now().FirstMs)
+	}
+	w.mu.Unlock()
+	if estimate > 0 && len(w.t.now().Hops) > 0 {
+		w.s.h.cfg.Catalog.Observed(w.t.engines(), float64(paused)/float64(estimate))
+	}
+}
+
 func (w *stall) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
