--- a/internal/request/forward/loan.go
+++ b/internal/request/forward/loan.go
@@ -20,6 +20,8 @@
 	maxRounds = 3
 	// loanPause is for how long nobody is asked after a round that got nothing.
 	loanPause = 250 * clock.Millisecond
+	// maxPools bounds the pools whose shares a VM keeps by the word of others.
+	maxPools = 1024
 )
 
 // Lenders are the VMs whose parts of the retry limits this one may borrow from.
@@ -130,6 +132,3 @@
 	}
 	return h.share(pool).Lend(h.cfg.Clock.Now(), vms, repeats)
 }
-
-// maxPools bounds the pools whose shares a VM keeps by the word of others.
-const maxPools = 1024
