Set a run's timer before it can run, and draw seeds under the lock

Reading for the same fault: a replica that is opened again after its disk failed drew its seed from the source that the gossip uses, without its lock. Change: both under the lock. Before: 1 race in 1 run of the package under load. After: 3 runs with the race detector without one.

--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -100,7 +100,7 @@
 	client    *client.Client
 	demand    *demandHome
 
-	mu     sync.Mutex // Guards gossip.
+	mu     sync.Mutex // Guards gossip and the source of random numbers.
 	gossip *gossip.Core
 
 	current   atomic.Pointer[fleetpb.Revision]
@@ -186,8 +186,11 @@
 	} else if s.Listen.Fleet != "" {
 		return nil
 	}
+	p.mu.Lock() // The gossip draws from the same source when a failed disk is opened again.
+	seed := p.cfg.Source.Uint64()
+	p.mu.Unlock()
 	r, err := replica.Open(replica.Config{
-		VM: s.VM, Disk: disk, Clock: p.cfg.Clock, Source: rng.New(p.cfg.Source.Uint64()), Sink: p.cfg.Sink, Log: p.cfg.Log,
+		VM: s.VM, Disk: disk, Clock: p.cfg.Clock, Source: rng.New(seed), Sink: p.cfg.Sink, Log: p.cfg.Log,
 		Sender: p, Changed: p.stateChanged, Voters: s.Fleet.VoterTarget(),
 	})
 	if err != nil {
--- a/internal/request/forward/stall.go
+++ b/internal/request/forward/stall.go
@@ -30,6 +30,8 @@
 func (s *stream) newStall(ctx context.Context, t *target, cancel context.CancelCauseFunc) *stall {
 	w := &stall{s: s, t: t, ctx: ctx, cancel: cancel, moved: time.Now()}
 	w.wait = firstFactor*milliseconds64(t.now().FirstMs) + askSlack
+	w.mu.Lock() // The timer may run before it is known here.
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(w.wait, w.due)
 	return w
 }
