Probe connections between VMs only while they are used, by the messages that they carry

A VM keeps 8 connections to its targets and as many back to answer their pings; on each a probe and its reply every 0.5 s, also on connections that are no longer used, for 30 s.

Change: a message carries the probe, where the peer has shown that it answers those; a separate probe follows only messages that carried none. A connection on which nothing is sent is not probed, and is closed after 5 s. Ages are measured by the boot clock and no longer by the time of day, whose jumps could replace all connections at once. Handshakes leave out the hybrid key exchange, and a stream's read buffer has 4 kB in place of 64 kB: calls have a stream each.

Ruled out: longer probe intervals. A silent connection is still replaced within 2 s of the first message on it (TestLivenessTimeout).

--- a/internal/fleet/keys/ring.go
+++ b/internal/fleet/keys/ring.go
@@ -133,9 +133,12 @@
 	return c
 }
 
+// config returns the common part of both configurations. It leaves out the hybrid key exchange,
+// which takes several times the processor time: in a large fleet a VM opens dozens of
+// connections when it starts.
 func (r *Ring) config() *tls.Config {
 	return &tls.Config{
-		MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}, SessionTicketsDisabled: true,
+		MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}, SessionTicketsDisabled: true, CurvePreferences: []tls.CurveID{tls.X25519},
 		VerifyConnection: func(s tls.ConnectionState) error { return r.verify(s.PeerCertificates) },
 	}
 }
--- a/internal/fleet/link/accept.go
+++ b/internal/fleet/link/accept.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// serveMessages passes messages to the handler and echoes probes as replies.
+// serveMessages passes messages to the handler and answers probes.
 func (t *Transport) serveMessages(vm string, stream *quic.Stream) {
 	r := framing.NewReader(stream)
 	w := framing.NewWriter(countingStream{stream, t})
@@ -62,17 +62,25 @@
 		if err := r.Read(e); err != nil {
 			return
 		}
+		sequence := e.ProbeSequence
 		if p := e.GetProbe(); p != nil {
-			p.Reply = true
-			if err := w.Write(e); err != nil {
-				return
-			}
+			sequence = p.Sequence
+		} else {
+			t.handler.Message(vm, e)
+		}
+		if sequence == 0 {
 			continue
 		}
-		t.handler.Message(vm, e)
+		if err := w.Write(probeReply(sequence)); err != nil {
+			return
+		}
 	}
 }
 
+func probeReply(sequence uint64) *fleetpb.Envelope {
+	return &fleetpb.Envelope{Body: &fleetpb.Envelope_Probe{Probe: &fleetpb.Probe{Sequence: sequence, Reply: true, AnswersCarried: true}}}
+}
+
 func (t *Transport) serveCall(vm string, stream *quic.Stream) {
 	c := &fleetpb.Call{}
 	if err := framing.NewReader(stream).Read(c); err != nil {
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -23,6 +23,8 @@
 
 func (r *recorder) Message(from string, e *fleetpb.Envelope) { r.received <- from + ":" + e.From }
 
+func (r *recorder) Answered(string) {}
+
 func (r *recorder) Call(_ context.Context, from string, _ *fleetpb.Call) *fleetpb.Reply {
 	return &fleetpb.Reply{Detail: "hello " + from}
 }
@@ -201,3 +203,18 @@
 		}
 	}
 }
+
+// TestIdleConnectionIsQuiet checks that a connection on which nothing is sent costs no messages
+// and is closed.
+func TestIdleConnectionIsQuiet(t *testing.T) {
+	_, of := newKeys(t, "a", "b")
+	a, _ := open(t, of["a"], link.WithProbe(20, 200), link.WithIdleTimeout(400))
+	b, messages := open(t, of["b"])
+	a.Send(b.Address(), &fleetpb.Envelope{From: "1"})
+	assert.Equal(t, <-messages.received, "a:1")
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, a.Stats().SentMessages, int64(2), "the message and its probe")
+	for a.Stats().Peers > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/fleet/link/peer.go
+++ b/internal/fleet/link/peer.go
@@ -9,6 +9,8 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 	"github.com/jasminecove/jasminecove/internal/wire/framing"
 )
@@ -18,26 +20,32 @@
 
 // peer holds the outgoing connection to one VM and the queue of messages for it.
 type peer struct {
-	t         *Transport
-	address   string
-	queue     chan *fleetpb.Envelope
-	repliedAt atomic.Int64 // Unix time in ns of the last reply to a probe.
-	usedAt    atomic.Int64 // Unix time in ns of the last message or call.
-
-	mu    sync.Mutex
-	conn  *quic.Conn
-	ready chan struct{} // Closed once conn is set.
+	t       *Transport
+	address string
+	queue   chan *fleetpb.Envelope
+	check   chan struct{} // Wakes the writer to check the connection; capacity 1.
+	usedAt  atomic.Int64  // clock.Time of the last message or call.
+
+	mu       sync.Mutex
+	conn     *quic.Conn
+	ready    chan struct{} // Closed once conn is set.
+	liveness liveness      // Of conn.
 }
 
 func newPeer(t *Transport, address string) *peer {
-	p := &peer{t: t, address: address, queue: make(chan *fleetpb.Envelope, maxQueued), ready: make(chan struct{})}
-	p.usedAt.Store(time.Now().UnixNano())
+	p := &peer{t: t, address: address, queue: make(chan *fleetpb.Envelope, maxQueued), check: make(chan struct{}, 1), ready: make(chan struct{})}
+	p.markUsed()
 	return p
 }
 
+func (p *peer) markUsed() { p.usedAt.Store(int64(p.t.clock.Now())) }
+
+// idleFor returns the time since the last message or call.
+func (p *peer) idleFor() clock.Duration { return p.t.clock.Now().Sub(clock.Time(p.usedAt.Load())) }
+
 // enqueue queues a message. It reports false when the queue is full.
 func (p *peer) enqueue(e *fleetpb.Envelope) bool {
-	p.usedAt.Store(time.Now().UnixNano())
+	p.markUsed()
 	select {
 	case p.queue <- e:
 		return true
@@ -48,7 +56,7 @@
 
 // connection returns the open connection, waiting until there is one.
 func (p *peer) connection(ctx context.Context) (*quic.Conn, error) {
-	p.usedAt.Store(time.Now().UnixNano())
+	p.markUsed()
 	for {
 		p.mu.Lock()
 		conn, ready := p.conn, p.ready
@@ -72,6 +80,7 @@
 	defer p.mu.Unlock()
 	if conn != nil {
 		p.conn = conn
+		p.liveness = liveness{interval: p.t.probeInterval, timeout: p.t.probeTimeout}
 		close(p.ready)
 		return
 	}
@@ -81,20 +90,27 @@
 	}
 }
 
+// callUnanswered has the connection probed, because a call on it was not answered for a while.
+func (p *peer) callUnanswered() {
+	p.mu.Lock()
+	p.liveness.callUnanswered()
+	p.mu.Unlock()
+	select {
+	case p.check <- struct{}{}:
+	default:
+	}
+}
+
 // run keeps a connection open until it is idle or the transport is closed.
 func (p *peer) run() {
 	for p.t.ctx.Err() == nil {
 		err := p.session()
-		if err == ErrIdle {
-			p.t.remove(p)
-			return
-		}
 		if err == ErrProbeTimeout {
 			p.t.replaced.Add(1)
 			p.t.log.Info("no probe reply from peer, replacing the connection", "address", p.address)
 			continue
 		}
-		if p.elapsed(&p.usedAt) > p.t.idleTimeout.Std() {
+		if err == ErrIdle || p.idleFor() > p.t.idleTimeout {
 			p.t.remove(p)
 			return
 		}
@@ -112,6 +128,7 @@
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", p.address, err)
 	}
+	p.t.dialed.Add(1)
 	defer func() {
 		p.setConn(nil)
 		_ = conn.CloseWithError(0, "")
@@ -123,30 +140,32 @@
 	if _, err := stream.Write([]byte{streamMessages}); err != nil {
 		return fmt.Errorf("open stream: %w", err)
 	}
-	p.repliedAt.Store(time.Now().UnixNano())
 	p.setConn(conn)
-	p.t.spawn(func() { p.readProbes(stream) })
+	vm := keys.PeerVM(conn.ConnectionState().TLS)
+	p.t.spawn(func() { p.readProbes(vm, stream) })
 	return p.write(conn, stream)
 }
 
-// readProbes reads the replies to probes.
-func (p *peer) readProbes(stream *quic.Stream) {
+// readProbes reads the replies of a VM to probes.
+func (p *peer) readProbes(vm string, stream *quic.Stream) {
 	r := framing.NewReader(stream)
 	for {
 		var e fleetpb.Envelope
 		if err := r.Read(&e); err != nil {
 			return
 		}
-		p.repliedAt.Store(time.Now().UnixNano())
+		p.mu.Lock()
+		p.liveness.received(e.GetProbe().GetSequence(), e.GetProbe().GetAnswersCarried())
+		p.mu.Unlock()
+		p.t.handler.Answered(vm)
 	}
 }
 
-// write sends queued messages, and a probe at each probe interval.
+// write sends the queued messages and probes the connection.
 func (p *peer) write(conn *quic.Conn, stream *quic.Stream) error {
 	w := framing.NewWriter(countingStream{stream, p.t})
-	probe := time.NewTicker(p.t.probeInterval.Std())
-	defer probe.Stop()
-	sequence := uint64(0)
+	timer := time.NewTimer(p.t.idleTimeout.Std())
+	defer timer.Stop()
 	for {
 		var e *fleetpb.Envelope
 		select {
@@ -155,15 +174,19 @@
 		case <-p.t.ctx.Done():
 			return ErrClosed
 		case e = <-p.queue:
-		case <-probe.C:
-			if p.elapsed(&p.repliedAt) > p.t.probeTimeout.Std() {
-				return ErrProbeTimeout
-			}
-			if p.elapsed(&p.usedAt) > p.t.idleTimeout.Std() {
+		case <-p.check:
+		case <-timer.C:
+			if p.idleFor() >= p.t.idleTimeout {
 				return ErrIdle
 			}
-			sequence++
-			e = &fleetpb.Envelope{Body: &fleetpb.Envelope_Probe{Probe: &fleetpb.Probe{Sequence: sequence}}}
+		}
+		e, wait, failed := p.prepare(e)
+		if failed {
+			return ErrProbeTimeout
+		}
+		timer.Reset(wait.Std())
+		if e == nil {
+			continue
 		}
 		_ = stream.SetWriteDeadline(time.Now().Add(p.t.probeTimeout.Std()))
 		if err := w.Write(e); err != nil {
@@ -173,6 +196,27 @@
 	}
 }
 
+// prepare returns the message to send now, if any: e with a probe added, or a separate probe
+// if e is nil and a probe is due. It also returns how long to wait for the next message, and
+// whether the connection has failed.
+func (p *peer) prepare(e *fleetpb.Envelope) (send *fleetpb.Envelope, wait clock.Duration, failed bool) {
+	now := p.t.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.liveness.failed(now) {
+		return nil, 0, true
+	}
+	if e == nil {
+		if sequence := p.liveness.due(now); sequence != 0 {
+			e = &fleetpb.Envelope{Body: &fleetpb.Envelope_Probe{Probe: &fleetpb.Probe{Sequence: sequence}}}
+		}
+	} else if sequence := p.liveness.messageSent(now); sequence != 0 {
+		// The message may be queued for other peers too, so a copy carries the probe.
+		e = &fleetpb.Envelope{From: e.From, Body: e.Body, ProbeSequence: sequence}
+	}
+	return e, p.liveness.wait(now, p.t.idleTimeout), false
+}
+
 // discardFor discards the queued messages for the duration d.
 func (p *peer) discardFor(d time.Duration) {
 	timer := time.NewTimer(d)
@@ -188,8 +232,3 @@
 		}
 	}
 }
-
-// elapsed returns the time since a Unix time in ns.
-func (p *peer) elapsed(since *atomic.Int64) time.Duration {
-	return time.Duration(time.Now().UnixNano() - since.Load())
-}
--- a/internal/fleet/link/transport.go
+++ b/internal/fleet/link/transport.go
@@ -41,7 +41,7 @@
 const (
 	defaultProbeInterval = 500 * clock.Millisecond
 	defaultProbeTimeout  = 1500 * clock.Millisecond
-	defaultIdleTimeout   = 30 * clock.Second
+	defaultIdleTimeout   = 5 * clock.Second
 	handshakeTimeout     = 2 * time.Second
 	// quicIdleTimeout is the time without packets after which QUIC closes a connection.
 	quicIdleTimeout = 10 * time.Second
@@ -58,6 +58,8 @@
 	Message(fromVM string, e *fleetpb.Envelope)
 	// Call handles a call and returns the reply.
 	Call(ctx context.Context, fromVM string, c *fleetpb.Call) *fleetpb.Reply
+	// Answered reports that a VM answered a probe. It must not block.
+	Answered(vm string)
 }
 
 // Stats counts the traffic of a transport.
@@ -66,6 +68,7 @@
 	SentBytes    int64 `json:"sentBytes"`
 	Dropped      int64 `json:"dropped"`
 	Replaced     int64 `json:"replaced"` // Connections that failed the probe.
+	Dialed       int64 `json:"dialed"`   // Connections opened.
 	Peers        int   `json:"peers"`
 }
 
@@ -73,6 +76,7 @@
 type Transport struct {
 	ring          *keys.Ring
 	handler       Handler
+	clock         clock.Clock
 	log           hclog.Logger
 	probeInterval clock.Duration
 	probeTimeout  clock.Duration
@@ -93,6 +97,7 @@
 	sentBytes    atomic.Int64
 	dropped      atomic.Int64
 	replaced     atomic.Int64
+	dialed       atomic.Int64
 }
 
 // Listen starts a transport on a UDP address. Close ends it.
@@ -112,7 +117,7 @@
 	}
 	reset := quic.StatelessResetKey(secret)
 	t := &Transport{
-		ring: ring, handler: handler, log: log.Named("link"),
+		ring: ring, handler: handler, clock: clock.NewSystem(), log: log.Named("link"),
 		probeInterval: defaultProbeInterval, probeTimeout: defaultProbeTimeout, idleTimeout: defaultIdleTimeout,
 		socket: socket, quic: &quic.Transport{Conn: socket, StatelessResetKey: &reset}, peers: map[string]*peer{},
 	}
@@ -145,7 +150,7 @@
 	t.mu.Unlock()
 	return Stats{
 		SentMessages: t.sentMessages.Load(), SentBytes: t.sentBytes.Load(),
-		Dropped: t.dropped.Load(), Replaced: t.replaced.Load(), Peers: peers,
+		Dropped: t.dropped.Load(), Replaced: t.replaced.Load(), Dialed: t.dialed.Load(), Peers: peers,
 	}
 }
 
@@ -184,6 +189,8 @@
 		return nil, err
 	}
 	_ = stream.Close()
+	late := time.AfterFunc(t.probeInterval.Std(), p.callUnanswered)
+	defer late.Stop()
 	reply := &fleetpb.Reply{}
 	if err := framing.NewReader(stream).Read(reply); err != nil {
 		return nil, fmt.Errorf("read reply: %w", err)
--- a/internal/wire/framing/framing.go
+++ b/internal/wire/framing/framing.go
@@ -14,8 +14,8 @@
 // MaxMessageBytes bounds the size of one message.
 const MaxMessageBytes = 16 << 20
 
-// bufferBytes is the size of a stream's read buffer.
-const bufferBytes = 64 << 10
+// bufferBytes is the size of a stream's read buffer. Each call has a stream of its own.
+const bufferBytes = 4 << 10
 
 // Reader reads messages from a stream. It is not safe for concurrent use.
 type Reader struct {
