Heartbeats without answers, and targets that stay when VMs join

A ping was answered on a second connection, opened for that alone; each VM that joined moved the fingers of all VMs after it in the ring, so that 60 VMs that start together opened 14 to 28 connections each, at two handshakes of some 2 ms.

Change: a heartbeat a second to each target, confirmed by its connection's probe; pings only for targets that were not heard of. Targets are the next VM in the ring and others by rendezvous hashing, chosen again at most every 0.3 s while VMs join and at once when one is lost.

--- a/internal/fleet/gossip/detect.go
+++ b/internal/fleet/gossip/detect.go
@@ -35,7 +35,9 @@
 	for vm, e := range c.entries {
 		if !live(e.member) && now.Sub(e.since) > deadRetention && vm != c.self.Vm {
 			delete(c.entries, vm)
+			c.members, c.live = nil, nil
 			delete(c.pending, vm)
+			delete(c.differSince, vm)
 		}
 	}
 }
@@ -146,5 +148,6 @@
 	}
 	if wasLive != live(m) {
 		c.liveChanged = true
+		c.targetLost = c.targetLost || wasLive && c.targets[m.Vm] != nil
 	}
 }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -2,9 +2,9 @@
 // revision is in force on each, and how recent the view is. It is a variant of SWIM, with
 // suspicion and incarnation numbers by which a VM refutes it.
 //
-// Whatever the size of the fleet, a VM exchanges messages with only a few fixed targets:
-// fingers on the ring of its own data centre, and two VMs of other data centres. Updates
-// are flooded over these links; each VM forwards an update once.
+// Whatever the size of the fleet, a VM sends messages to only a few targets: some VMs of its
+// own data centre, and two VMs of other data centres. Updates are flooded over these links;
+// each VM forwards an update once.
 //
 // A Core is deterministic and does no I/O.
 package gossip
@@ -24,9 +24,11 @@
 // Timing of the protocol.
 const (
 	// fastInterval is the ping interval while every VM is a target; slowInterval is the
-	// ping interval otherwise.
+	// ping interval otherwise. A target that was heard of within the interval is not pinged.
 	fastInterval = 200 * clock.Millisecond
 	slowInterval = 1 * clock.Second
+	// heartbeatInterval is the interval between heartbeats to each target.
+	heartbeatInterval = 1 * clock.Second
 	// pingSlack is how late a target's regular message may be before the target is pinged.
 	pingSlack = 60 * clock.Millisecond
 	// pingsToSuspect is the number of ping intervals without a message after which a VM is
@@ -43,6 +45,9 @@
 	isolatedFactor = 3
 	// minSyncInterval is the shortest interval between two exchanges of the whole view.
 	minSyncInterval = 2 * clock.Second
+	// upstreamsDifferPeriod is how long another VM's upstreams must have differed before they
+	// are compared: longer than an update takes to cross the fleet.
+	upstreamsDifferPeriod = 900 * clock.Millisecond
 	// reconnectInterval is the interval between attempts to reach a dead VM or a seed.
 	reconnectInterval = 1 * clock.Second
 	// deadRetention is how long a dead VM is remembered and contacted again.
@@ -60,10 +65,11 @@
 	suspectAfter clock.Time // It is not suspected before this time.
 }
 
-// target is a VM that this one pings.
+// target is a VM that this one sends heartbeats and updates to.
 type target struct {
-	pingedAt   clock.Time // When the last ping was sent.
-	receivedAt clock.Time // When the last message was received.
+	heartbeatAt clock.Time // When the last heartbeat was sent.
+	pingedAt    clock.Time // When the last ping was sent.
+	receivedAt  clock.Time // When the last message was received.
 }
 
 // Core is a VM's view of the fleet. It is not safe for concurrent use.
@@ -85,9 +91,14 @@
 	syncedAt      clock.Time
 	reconnectedAt clock.Time
 	left          bool
-	view          uint64 // Hash of the live VMs and their incarnations.
+	view          uint64            // Hash of the live VMs and their incarnations.
+	members, live []*fleetpb.Member // Results of Members and Live; nil after a change.
 	suspects      map[string]bool
 	liveChanged   bool // The set of live VMs changed since the targets were chosen.
+	targetLost    bool // One of the targets is no longer live.
+	targetsAt     clock.Time
+	upstreams     uint64                // Hash of the upstreams that this VM knows.
+	differSince   map[string]clock.Time // Since when each VM that sends heartbeats has known other upstreams.
 	out           Effects
 }
 
@@ -98,6 +109,7 @@
 		self: proto.CloneOf(self), src: src, seeds: seeds,
 		entries: map[string]*entry{}, targets: map[string]*target{},
 		pending: map[string]bool{}, except: map[string]string{}, suspects: map[string]bool{}, interval: fastInterval,
+		differSince: map[string]clock.Time{},
 	}
 	e := &entry{}
 	c.entries[self.Vm] = e
@@ -109,6 +121,7 @@
 func (c *Core) Update(now clock.Time, msg Msg) Effects {
 	switch m := msg.(type) {
 	case TickMsg:
+		c.upstreams = m.Upstreams
 		c.tick(now)
 	case PeerMsg:
 		c.receive(now, m.Message)
@@ -131,23 +144,30 @@
 		c.flush()
 	}
 	out := c.out
+	out.Queued = len(c.pending) > 0 || len(c.digests) > 0 || c.urgent || c.targetsOutdated(now)
 	c.out = Effects{}
 	return out
 }
 
-// Members returns all known VMs, sorted by name.
+// Members returns all known VMs, sorted by name. The caller must not modify the slice.
 func (c *Core) Members() []*fleetpb.Member {
-	all := make([]*fleetpb.Member, 0, len(c.entries))
-	for _, e := range c.entries {
-		all = append(all, e.member)
+	if c.members == nil {
+		c.members = make([]*fleetpb.Member, 0, len(c.entries))
+		for _, e := range c.entries {
+			c.members = append(c.members, e.member)
+		}
+		slices.SortFunc(c.members, func(a, b *fleetpb.Member) int { return strings.Compare(a.Vm, b.Vm) })
 	}
-	slices.SortFunc(all, func(a, b *fleetpb.Member) int { return strings.Compare(a.Vm, b.Vm) })
-	return all
+	return c.members
 }
 
-// Live returns the VMs that are not dead and have not left, sorted by name.
+// Live returns the VMs that are not dead and have not left, sorted by name. The caller must not
+// modify the slice.
 func (c *Core) Live() []*fleetpb.Member {
-	return slices.DeleteFunc(c.Members(), func(m *fleetpb.Member) bool { return !live(m) })
+	if c.live == nil {
+		c.live = slices.DeleteFunc(slices.Clone(c.Members()), func(m *fleetpb.Member) bool { return !live(m) })
+	}
+	return c.live
 }
 
 // Member returns the known state of a VM.
@@ -168,6 +188,9 @@
 	return out
 }
 
+// TargetsAll reports whether the targets are all other live VMs, as in a small fleet.
+func (c *Core) TargetsAll() bool { return c.interval == fastInterval }
+
 func live(m *fleetpb.Member) bool {
 	return m.State == fleetpb.Member_ALIVE || m.State == fleetpb.Member_SUSPECT
 }
@@ -176,23 +199,35 @@
 	if c.left {
 		return
 	}
-	if c.liveChanged {
-		c.liveChanged = false
+	if c.targetsOutdated(now) {
 		c.setTargets(now)
 	}
 	c.detect(now)
+	c.heartbeat(now)
 	c.ping(now)
 	c.reconnect(now)
 	c.flush()
 }
 
-// ping pings each target that is due. A target that sent a message recently is pinged at
-// slowInterval, which is enough to compare views.
+// heartbeat sends a heartbeat to each target that is due.
+func (c *Core) heartbeat(now clock.Time) {
+	for _, vm := range c.targetNames {
+		t := c.targets[vm]
+		if now.Sub(t.heartbeatAt) < heartbeatInterval {
+			continue
+		}
+		t.heartbeatAt = now
+		c.send(c.entries[vm].member.Address, &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_HEARTBEAT, Upstreams: c.upstreams})
+	}
+}
+
+// ping pings each target that was not heard of within the interval. Heartbeats, and the
+// answers to their probes, make pings unnecessary as long as the interval is no shorter than
+// the heartbeats'.
 func (c *Core) ping(now clock.Time) {
 	for _, vm := range c.targetNames {
 		t := c.targets[vm]
-		recent := now.Sub(t.receivedAt) <= c.interval+pingSlack && now.Sub(t.pingedAt) < slowInterval
-		if now.Sub(t.pingedAt) < c.interval || recent {
+		if now.Sub(t.receivedAt) <= c.interval+pingSlack || now.Sub(t.pingedAt) < c.interval {
 			continue
 		}
 		t.pingedAt = now
@@ -250,6 +285,8 @@
 		c.send(m.FromAddress, &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_ACK, Sequence: m.Sequence})
 	case fleetpb.GossipMessage_SYNC:
 		c.sync(m.FromAddress, fleetpb.GossipMessage_SYNC_REPLY)
+	case fleetpb.GossipMessage_HEARTBEAT:
+		c.compareUpstreams(now, m)
 	}
 	if m.View != 0 && m.View != c.view && now.Sub(c.syncedAt) >= minSyncInterval {
 		c.syncedAt = now
@@ -257,6 +294,21 @@
 	}
 }
 
+// compareUpstreams requests a comparison of the upstreams with a VM that has known others for
+// some time, because one of both VMs has missed an update.
+func (c *Core) compareUpstreams(now clock.Time, m *fleetpb.GossipMessage) {
+	since, differs := c.differSince[m.From]
+	switch {
+	case m.Upstreams == c.upstreams:
+		delete(c.differSince, m.From)
+	case !differs:
+		c.differSince[m.From] = now
+	case now.Sub(since) >= upstreamsDifferPeriod:
+		delete(c.differSince, m.From)
+		c.out.UpstreamsDiffer = m.From
+	}
+}
+
 // applyFields applies the fields of a message other than its members.
 func (c *Core) applyFields(m *fleetpb.GossipMessage) {
 	if m.Revision > c.revision {
@@ -355,6 +407,7 @@
 	}
 	e.member = m
 	c.view += memberHash(m)
+	c.members, c.live = nil, nil
 	if m.State == fleetpb.Member_SUSPECT {
 		c.suspects[m.Vm] = true
 		return
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -28,11 +29,15 @@
 	bytes    int
 	received map[string]map[string]clock.Time // When each VM received each digest, by its id.
 	stamps   map[string]uint64                // Newest stamp that each VM received.
+	// upstreams is the hash of the upstreams that each VM knows, and differed is how often
+	// other VMs found that a VM knows others.
+	upstreams map[string]uint64
+	differed  map[string]int
 }
 
 func newFleet(seed uint64, n, dataCentres int, faults lossy.Faults) *fleet {
 	src := rng.New(seed)
-	f := &fleet{now: 1000, src: src, net: lossy.New[*fleetpb.GossipMessage](src, faults), cores: map[string]*gossip.Core{}, received: map[string]map[string]clock.Time{}, stamps: map[string]uint64{}}
+	f := &fleet{now: 1000, src: src, net: lossy.New[*fleetpb.GossipMessage](src, faults), cores: map[string]*gossip.Core{}, received: map[string]map[string]clock.Time{}, stamps: map[string]uint64{}, upstreams: map[string]uint64{}, differed: map[string]int{}}
 	for i := range n {
 		vm := fmt.Sprintf("vm%03d", i)
 		f.names = append(f.names, vm)
@@ -64,6 +69,9 @@
 	if len(fresh) > 0 {
 		f.apply(vm, f.cores[vm].Update(f.now, gossip.DigestsMsg{Digests: fresh, Except: e.From}))
 	}
+	if e.UpstreamsDiffer != "" {
+		f.differed[e.UpstreamsDiffer]++
+	}
 	if e.Stamp > 0 {
 		f.stamps[vm] = e.Stamp
 	}
@@ -75,22 +83,31 @@
 // advance runs the fleet for the duration d.
 func (f *fleet) advance(d clock.Duration) {
 	for end := f.now.Add(d); f.now < end; f.now++ {
-		f.net.Deliver(f.now, func(_, to string, m *fleetpb.GossipMessage) {
-			if c := f.cores[to]; c != nil {
-				f.apply(to, c.Update(f.now, gossip.PeerMsg{Message: m}))
-			}
-		})
+		f.net.Deliver(f.now, f.deliver)
 		if f.now%tickIntervalMs != 0 {
 			continue
 		}
 		for _, vm := range f.names {
 			if c := f.cores[vm]; c != nil {
-				f.apply(vm, c.Update(f.now, gossip.TickMsg{}))
+				f.apply(vm, c.Update(f.now, gossip.TickMsg{Upstreams: f.upstreams[vm]}))
 			}
 		}
 	}
 }
 
+// deliver passes a message to a VM. Its connection confirms a heartbeat to the sender, for
+// which an empty ACK stands here.
+func (f *fleet) deliver(from, to string, m *fleetpb.GossipMessage) {
+	c := f.cores[to]
+	if c == nil {
+		return
+	}
+	f.apply(to, c.Update(f.now, gossip.PeerMsg{Message: m}))
+	if m.Kind == fleetpb.GossipMessage_HEARTBEAT {
+		f.net.Send(f.now, to, from, &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_ACK, From: to})
+	}
+}
+
 // agreed reports whether on every running VM the members in state ALIVE are exactly the
 // running VMs.
 func (f *fleet) agreed() bool {
@@ -259,3 +276,50 @@
 		f.awaitAgreement(t, 60*clock.Second)
 	}
 }
+
+// targets returns the addresses of the targets of each VM.
+func (f *fleet) targets() map[string][]string {
+	out := map[string][]string{}
+	for vm, c := range f.cores {
+		out[vm] = c.Targets()
+	}
+	return out
+}
+
+// TestTargetsAfterJoin checks that a VM that joins a large fleet changes few targets, because
+// each new one costs a connection.
+func TestTargetsAfterJoin(t *testing.T) {
+	f := newFleet(11, 100, 5, lan)
+	f.awaitAgreement(t, 30*clock.Second)
+	f.advance(clock.Second)
+	before := f.targets()
+	f.names = append(f.names, "vm0505")
+	f.start("vm0505", "dc0")
+	f.awaitAgreement(t, 30*clock.Second)
+	f.advance(clock.Second)
+	changed, all := 0, 0
+	for vm, targets := range f.targets() {
+		for _, target := range targets {
+			if vm == "vm0505" {
+				continue
+			}
+			all++
+			if !slices.Contains(before[vm], target) {
+				changed++
+			}
+		}
+	}
+	assert.Assert(t, changed > 0 && changed <= all/20, "%d of %d targets changed", changed, all)
+}
+
+// TestUpstreamsDiffer checks that a VM that knows other upstreams than the rest is noticed by a
+// VM that it sends heartbeats to, and that equal views cause no comparison.
+func TestUpstreamsDiffer(t *testing.T) {
+	f := newFleet(12, 30, 3, lan)
+	f.awaitAgreement(t, 30*clock.Second)
+	f.advance(3 * clock.Second)
+	assert.Equal(t, len(f.differed), 0)
+	f.upstreams["vm007"] = 42
+	f.advance(3 * clock.Second)
+	assert.Assert(t, f.differed["vm007"] > 0)
+}
--- a/internal/fleet/gossip/msg.go
+++ b/internal/fleet/gossip/msg.go
@@ -8,7 +8,9 @@
 type Msg interface{ isMsg() }
 
 // TickMsg reports that time has passed.
-type TickMsg struct{}
+type TickMsg struct {
+	Upstreams uint64 // Hash of the upstreams that this VM knows.
+}
 
 // PeerMsg carries a message from another VM.
 type PeerMsg struct {
@@ -31,8 +33,8 @@
 	Draining bool
 }
 
-// ActivityMsg reports that another VM sent a message other than gossip, which also proves
-// that it is alive.
+// ActivityMsg reports that another VM sent a message other than gossip, or answered a probe of
+// its connection, which also proves that it is alive.
 type ActivityMsg struct {
 	VM string
 }
@@ -77,4 +79,8 @@
 	Revision   uint64              // A tables revision in force at From, newer than any received before.
 	Stamp      uint64              // A stamp newer than any received before.
 	HomeHashes []*fleetpb.HomeHash // Hashes of the upstreams of each home, received from From.
+	// UpstreamsDiffer is a VM that has known other upstreams than this VM for some time, or "".
+	UpstreamsDiffer string
+	// Queued is set while updates wait for the next tick to be sent.
+	Queued bool
 }
--- a/internal/fleet/gossip/targets.go
+++ b/internal/fleet/gossip/targets.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"math/bits"
 	"slices"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/rendezvous"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
@@ -13,11 +15,21 @@
 	maxFullMesh = 12
 	// remoteTargets is the number of targets in other data centres.
 	remoteTargets = 2
+	// retargetDelay is the shortest interval between two choices of targets while VMs join,
+	// because each new target costs a connection. A lost target is replaced at once.
+	retargetDelay = 300 * clock.Millisecond
 )
 
+// targetsOutdated reports whether the targets are to be chosen again now.
+func (c *Core) targetsOutdated(now clock.Time) bool {
+	return c.liveChanged && (c.targetLost || len(c.targetNames) == 0 || now.Sub(c.targetsAt) >= retargetDelay)
+}
+
 // setTargets chooses the targets again. VMs that remain targets keep their timestamps.
 func (c *Core) setTargets(now clock.Time) {
-	names := c.chooseTargets(c.Live())
+	c.liveChanged, c.targetLost, c.targetsAt = false, false, now
+	live := c.Live()
+	names := c.chooseTargets(live)
 	next := map[string]*target{}
 	for _, vm := range names {
 		t := c.targets[vm]
@@ -28,7 +40,7 @@
 	}
 	c.targets, c.targetNames = next, names
 	c.interval = slowInterval
-	if len(c.entries) <= maxFullMesh {
+	if len(live) <= maxFullMesh {
 		c.interval = fastInterval
 	}
 }
@@ -41,27 +53,30 @@
 			names = append(names, m.Vm)
 		}
 	} else {
-		names = append(fingers(all, c.self), remote(all, c.self)...)
+		names = append(nearby(all, c.self), remote(all, c.self)...)
 	}
 	slices.Sort(names)
 	names = slices.Compact(names)
 	return slices.DeleteFunc(names, func(vm string) bool { return vm == c.self.Vm })
 }
 
-// fingers returns the VMs at distances 1, 2, 4 and so on along the ring of the
-// own data centre, so that updates cross it in a number of hops that grows with the
-// logarithm of its size.
-func fingers(all []*fleetpb.Member, self *fleetpb.Member) []string {
+// nearby returns VMs of the own data centre: the next one in the order of names, which
+// connects all of them in a ring, and others at random, so that updates cross the data
+// centre in a number of hops that grows with the logarithm of its size. Rendezvous hashing
+// keeps nearly all targets when a VM joins or leaves.
+func nearby(all []*fleetpb.Member, self *fleetpb.Member) []string {
 	ring := inDataCentre(all, self.DataCentre)
-	at := slices.Index(ring, self.Vm)
-	var out []string
-	for distance := 1; distance < len(ring); distance *= 2 {
-		out = append(out, ring[(max(at, 0)+distance)%len(ring)])
+	if len(ring) < 2 {
+		return nil
 	}
-	return out
+	at := slices.Index(ring, self.Vm)
+	next := ring[(at+1)%len(ring)]
+	others := slices.DeleteFunc(ring, func(vm string) bool { return vm == self.Vm || vm == next })
+	random := min(len(others), bits.Len(uint(len(ring)))-1)
+	return append(rendezvous.Rank(self.Vm, others)[:random], next)
 }
 
-// remote returns VMs of other data centres, spread so that several VMs connect each pair
+// remote returns VMs of other data centres, at random, so that several VMs connect each pair
 // of data centres.
 func remote(all []*fleetpb.Member, self *fleetpb.Member) []string {
 	var others []string
@@ -70,15 +85,9 @@
 			others = append(others, m.DataCentre)
 		}
 	}
-	if len(others) == 0 {
-		return nil
-	}
-	slices.Sort(others)
-	at := max(0, slices.Index(inDataCentre(all, self.DataCentre), self.Vm))
 	var out []string
-	for k := range remoteTargets {
-		ring := inDataCentre(all, others[(at*remoteTargets+k)%len(others)])
-		out = append(out, ring[at%len(ring)])
+	for _, dc := range rendezvous.Rank(self.Vm, others)[:min(len(others), remoteTargets)] {
+		out = append(out, rendezvous.Choose(self.Vm, inDataCentre(all, dc)))
 	}
 	return out
 }
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -49,6 +49,8 @@
 	upstreams map[string]*Upstream
 	version   uint64
 	maxLease  clock.Duration
+	hash      uint64 // Of the live upstreams; valid if hashed is set.
+	hashed    bool
 }
 
 // Option changes how a Registry behaves.
@@ -92,6 +94,7 @@
 	if changed {
 		next.published = a.Sequence
 		r.version++
+		r.hashed = false
 	}
 	return changed
 }
@@ -135,6 +138,7 @@
 	next := r.replace(now, u, &a, d.Home)
 	next.LastSeen = now.Add(-clock.Duration(d.AgeMs))
 	next.published = d.Sequence
+	r.hashed = false
 	if changed {
 		r.version++
 	}
@@ -151,6 +155,7 @@
 	a.Sequence = d.Sequence
 	r.upstreams[d.Id] = &Upstream{Announcement: a, Home: d.Home, ended: true, published: d.Sequence, expires: now.Add(tombstoneTTL)}
 	r.version++
+	r.hashed = false
 	return true
 }
 
@@ -285,13 +290,24 @@
 	return out
 }
 
-// HomeHashes returns a hash of the live upstreams of each home, to compare this VM's view
-// with another VM's.
+// Hash returns a hash of the live upstreams, to compare this VM's view with another VM's.
+func (r *Registry) Hash() uint64 {
+	if !r.hashed {
+		r.hash, r.hashed = 0, true
+		for _, u := range r.upstreams {
+			r.hash += u.hash()
+		}
+	}
+	return r.hash
+}
+
+// HomeHashes returns a hash of the live upstreams of each home, to find the homes in which
+// this VM's view differs from another VM's.
 func (r *Registry) HomeHashes() []*fleetpb.HomeHash {
 	sums := map[string]uint64{}
-	for id, u := range r.upstreams {
+	for _, u := range r.upstreams {
 		if !u.ended {
-			sums[u.Home] += xxhash.Sum64String(id) * (u.published | 1)
+			sums[u.Home] += u.hash()
 		}
 	}
 	out := make([]*fleetpb.HomeHash, 0, len(sums))
@@ -302,6 +318,14 @@
 	return out
 }
 
+// hash returns the upstream's part of the hash of the live upstreams.
+func (u *Upstream) hash() uint64 {
+	if u.ended {
+		return 0
+	}
+	return xxhash.Sum64String(u.Id) * (u.published | 1)
+}
+
 // effectiveLease returns a lease within MinLease and MaxLease.
 func effectiveLease(lease clock.Duration) clock.Duration {
 	return min(MaxLease, max(MinLease, lease))
