Exchange the load in a large fleet through one collector a data centre

Cause: each VM told 8 targets four times a second what its requests hold, so that in a fleet of 300 a VM knew of 9 VMs and assumed the other 291 to do the same: one request seen on an engine counted as 33. It was also most of the traffic between VMs.

Change: a VM reports to the collector of its data centre (rendezvous hashing over its live VMs, the next one if it does not answer) twice a second and gets the sums of all data centres back; collectors fetch each other's sums once a second. Dead engines and new placements are still flooded at once. Up to 12 VMs nothing changes. Only VMs with a replica run the placement controller. A patch of the tables that a VM received is passed on as it is.

--- a/internal/node/controlplane/adopt.go
+++ b/internal/node/controlplane/adopt.go
@@ -34,20 +34,6 @@
 	return reply.GetState().GetRevision(), nil
 }
 
-// ShareOccupancy sends the capacity that this VM's requests hold on upstreams to its gossip
-// targets.
-func (p *Plane) ShareOccupancy(o *fleetpb.Occupancy) {
-	if p.transport == nil {
-		return
-	}
-	p.mu.Lock()
-	targets := p.gossip.Targets()
-	p.mu.Unlock()
-	for _, address := range targets {
-		p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Occupancy{Occupancy: o}})
-	}
-}
-
 // PublishDigests gossips changes of the upstreams whose home is this VM.
 func (p *Plane) PublishDigests(digests []*fleetpb.Digest) {
 	p.update(gossip.DigestsMsg{Digests: digests})
--- a/internal/node/controlplane/calls.go
+++ b/internal/node/controlplane/calls.go
@@ -26,6 +26,9 @@
 	}
 }
 
+// Answered implements link.Handler.
+func (p *Plane) Answered(vm string) { p.update(gossip.ActivityMsg{VM: vm}) }
+
 // Call implements link.Handler.
 func (p *Plane) Call(ctx context.Context, vm string, c *fleetpb.Call) *fleetpb.Reply {
 	c.From = vm
@@ -50,6 +53,8 @@
 			return &fleetpb.Reply{}
 		}
 		return &fleetpb.Reply{Lent: uint32(p.cfg.Lend(b.Lend.Pool, int(b.Lend.Repeats)))}
+	case *fleetpb.Call_Load:
+		return p.handleLoad(vm, b.Load)
 	case *fleetpb.Call_Explain:
 		return &fleetpb.Reply{Account: p.cfg.Explain(b.Explain.RequestId)}
 	case *fleetpb.Call_Read:
--- a/internal/node/controlplane/demand.go
+++ b/internal/node/controlplane/demand.go
@@ -5,10 +5,9 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/delay"
+	"github.com/jasminecove/jasminecove/internal/base/rendezvous"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
@@ -61,18 +60,6 @@
 	return sums
 }
 
-// homeOf returns the home VM of an organisation's limit by rendezvous hashing: the VM with
-// the highest hash of both names, so that few organisations move when VMs change.
-func homeOf(org string, vms []string) string {
-	best, bestHash := "", uint64(0)
-	for _, vm := range vms {
-		if h := xxhash.Sum64String(org + "\x00" + vm); best == "" || h > bestHash {
-			best, bestHash = vm, h
-		}
-	}
-	return best
-}
-
 // demandLoop reports this VM's demand to the home VMs and applies the sums that they return.
 func (p *Plane) demandLoop(ctx context.Context) {
 	delay.Every(ctx, demandInterval, func() {
@@ -83,7 +70,7 @@
 		vms := p.liveVMs()
 		p.cfg.Limits.SetVMs(max(len(vms), len(p.Members())))
 		for org, rate := range p.cfg.Limits.Demands() {
-			home := homeOf(org, vms)
+			home := rendezvous.Choose(org, vms)
 			if byHome[home] == nil {
 				byHome[home] = &fleetpb.Demand{}
 			}
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -4,29 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/routing/directory"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
-// Intervals of the anti-entropy comparison of upstreams by home VM. A VM that has just joined
-// may have missed digests. Homes are therefore compared in every round for antiEntropyPeriod
-// after a VM joined, and in every stableRounds-th round otherwise.
-const (
-	antiEntropyInterval = 500 * time.Millisecond
-	antiEntropyPeriod   = 5 * clock.Second
-	stableRounds        = 10
-)
-
-// A comparison lists every home. In a fleet of more than smallFleetVMs it is therefore made
-// largeFleetFactor times less often.
-const (
-	smallFleetVMs    = 12
-	largeFleetFactor = 12
-)
-
 // A starting VM asks initialSyncVMs other VMs for their upstreams, and is not ready before
 // they have answered or initialSyncTimeout has passed.
 const (
@@ -52,24 +35,44 @@
 // gossipLoop drives the gossip timer and, on the leader, issues the stamps that date the view of
 // the control state.
 func (p *Plane) gossipLoop(ctx context.Context) {
-	stampedAt, stamps := clock.Time(0), uint64(0)
-	delay.Every(ctx, gossipTickInterval, func() {
-		p.update(gossip.TickMsg{})
-		now := p.cfg.Clock.Now()
-		if now.Sub(stampedAt) < stampInterval {
+	ticker := time.NewTicker(gossipTickInterval)
+	defer ticker.Stop()
+	flush := time.NewTimer(0)
+	defer flush.Stop()
+	flushing := true
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-p.gossipQueued:
+			if !flushing {
+				flushing = true
+				flush.Reset(gossipFlushDelay)
+			}
+			continue
+		case <-flush.C:
+			flushing = false
+		case <-ticker.C:
 		}
-		st, ok := p.ReplicaStatus()
-		if !ok {
-			return
-		}
-		if st.Role == "leader" && st.LeaseLeft > 0 {
-			stampedAt = now
-			stamps++
-			p.stampedAt.Store(int64(now))
-			p.update(gossip.StampMsg{Stamp: st.Term<<gossip.StampTermShift + stamps})
-		}
-	})
+		p.update(gossip.TickMsg{Upstreams: p.cfg.Directory.UpstreamsHash()})
+		p.stamp()
+	}
+}
+
+// stamp issues a stamp if this VM leads and the last one is older than stampInterval.
+func (p *Plane) stamp() {
+	now := p.cfg.Clock.Now()
+	if now.Sub(p.issuedAt) < stampInterval {
+		return
+	}
+	st, ok := p.ReplicaStatus()
+	if !ok || st.Role != "leader" || st.LeaseLeft <= 0 {
+		return
+	}
+	p.issuedAt = now
+	p.issued++
+	p.stampedAt.Store(int64(now))
+	p.update(gossip.StampMsg{Stamp: st.Term<<gossip.StampTermShift + p.issued})
 }
 
 // update passes a message to the gossip state and executes the resulting effects.
@@ -81,6 +84,12 @@
 	}
 	e := p.gossip.Update(p.cfg.Clock.Now(), msg)
 	p.mu.Unlock()
+	if e.Queued {
+		select {
+		case p.gossipQueued <- struct{}{}:
+		default:
+		}
+	}
 	for _, o := range e.Send {
 		if p.transport != nil {
 			p.transport.Send(o.Address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Gossip{Gossip: o.Message}})
@@ -104,6 +113,9 @@
 	if len(e.HomeHashes) > 0 {
 		p.compareHomes(e.From, e.HomeHashes)
 	}
+	if e.UpstreamsDiffer != "" {
+		p.sendHomes(e.UpstreamsDiffer)
+	}
 }
 
 // memberChanged handles a VM's change of state.
@@ -116,7 +128,6 @@
 	case fleetpb.Member_ALIVE:
 		if e.Previous != int32(fleetpb.Member_SUSPECT) {
 			p.log.Info("VM is here", "vm", vm)
-			p.lastJoinAt.Store(int64(p.cfg.Clock.Now()))
 			p.cfg.Directory.HomeBack(vm)
 		}
 	case fleetpb.Member_SUSPECT:
@@ -131,27 +142,15 @@
 	}
 }
 
-// antiEntropyLoop periodically compares upstreams with another VM by sending the hash of
-// each home, which repairs the loss of a digest.
-func (p *Plane) antiEntropyLoop(ctx context.Context) {
-	rounds := 0
-	delay.Every(ctx, antiEntropyInterval, func() {
-		p.mu.Lock()
-		targets, vms := p.gossip.Targets(), len(p.gossip.Live())
-		p.mu.Unlock()
-		rounds++
-		recent := p.cfg.Clock.Now().Sub(clock.Time(p.lastJoinAt.Load())) < antiEntropyPeriod
-		interval := stableRounds
-		if vms > smallFleetVMs {
-			interval *= largeFleetFactor
-		}
-		if len(targets) == 0 || !recent && rounds%interval != 0 {
-			return
-		}
-		m := &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_SYNC_REPLY, From: p.cfg.Settings.VM, Homes: p.cfg.Directory.HomeHashes()}
-		to := targets[rounds%len(targets)]
-		p.transport.Send(to, &fleetpb.Envelope{Body: &fleetpb.Envelope_Gossip{Gossip: m}})
-	})
+// sendHomes sends the hash of each home to a VM, which then fetches the upstreams that it has
+// missed. This repairs the loss of a digest.
+func (p *Plane) sendHomes(vm string) {
+	address, ok := p.address(vm)
+	if !ok {
+		return
+	}
+	m := &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_SYNC_REPLY, From: p.cfg.Settings.VM, Homes: p.cfg.Directory.HomeHashes()}
+	p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Gossip{Gossip: m}})
 }
 
 // compareHomes compares another VM's home hashes with those of this VM, and fetches the
--- /dev/null
+++ b/internal/node/controlplane/load.go
@@ -0,0 +1,143 @@
+package controlplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/fleet/loadsum"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+const (
+	// loadCallTimeout bounds a call to a collector, and avoidCollector is how long a collector
+	// that did not answer is not called.
+	loadCallTimeout = 400 * time.Millisecond
+	avoidCollector  = 3 * clock.Second
+	// exchangeInterval is the interval at which collectors fetch each other's sums.
+	exchangeInterval = 1 * clock.Second
+)
+
+// loads is the VM's part in the exchange of the load on upstreams.
+type loads struct {
+	mu          sync.Mutex
+	collector   *loadsum.Collector
+	exchangedAt clock.Time
+	avoidUntil  map[string]clock.Time // By VM.
+}
+
+// ShareOccupancy sends a report of this VM's occupancy and findings to its gossip targets.
+func (p *Plane) ShareOccupancy(o *fleetpb.Occupancy) {
+	if p.transport == nil {
+		return
+	}
+	p.mu.Lock()
+	targets := p.gossip.Targets()
+	p.mu.Unlock()
+	for _, address := range targets {
+		p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Occupancy{Occupancy: o}})
+	}
+}
+
+// TargetsAll reports whether the gossip targets are all other VMs.
+func (p *Plane) TargetsAll() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gossip.TargetsAll()
+}
+
+// ReportLoad reports this VM's occupancy to the collector of its data centre, and returns the
+// sums of all data centres. The sum of the own one includes the report.
+func (p *Plane) ReportLoad(ctx context.Context, o *fleetpb.Occupancy) ([]*fleetpb.LoadSum, error) {
+	self := p.cfg.Settings
+	vm := p.collectorOf(self.DataCentre)
+	if vm == self.VM {
+		return p.collect(self.VM, o), nil
+	}
+	return p.callCollector(ctx, vm, &fleetpb.ReportLoad{Occupancy: o})
+}
+
+// collectorOf returns the VM that collects the load of a data centre.
+func (p *Plane) collectorOf(dataCentre string) string {
+	var vms []string
+	p.mu.Lock()
+	for _, m := range p.gossip.Live() {
+		if m.DataCentre == dataCentre && !m.Draining {
+			vms = append(vms, m.Vm)
+		}
+	}
+	p.mu.Unlock()
+	now := p.cfg.Clock.Now()
+	p.loads.mu.Lock()
+	defer p.loads.mu.Unlock()
+	return loadsum.Choose(dataCentre, vms, func(vm string) bool { return now < p.loads.avoidUntil[vm] })
+}
+
+// callCollector calls a collector and avoids it for a while if it does not answer.
+func (p *Plane) callCollector(ctx context.Context, vm string, r *fleetpb.ReportLoad) ([]*fleetpb.LoadSum, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadCallTimeout)
+	defer cancel()
+	reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Load{Load: r}})
+	if err != nil {
+		p.loads.mu.Lock()
+		p.loads.avoidUntil[vm] = p.cfg.Clock.Now().Add(avoidCollector)
+		p.loads.mu.Unlock()
+		p.log.Debug("failed to report the load", "vm", vm, "error", err)
+		return nil, err
+	}
+	return reply.Loads, nil
+}
+
+// handleLoad answers a call to this VM as the collector of its data centre.
+func (p *Plane) handleLoad(vm string, r *fleetpb.ReportLoad) *fleetpb.Reply {
+	if r.Occupancy == nil {
+		p.loads.mu.Lock()
+		defer p.loads.mu.Unlock()
+		return &fleetpb.Reply{Loads: []*fleetpb.LoadSum{p.loads.collector.Own(p.cfg.Clock.Now())}}
+	}
+	return &fleetpb.Reply{Loads: p.collect(vm, r.Occupancy)}
+}
+
+// collect records a VM's report and returns the sums.
+func (p *Plane) collect(vm string, o *fleetpb.Occupancy) []*fleetpb.LoadSum {
+	now := p.cfg.Clock.Now()
+	p.loads.mu.Lock()
+	defer p.loads.mu.Unlock()
+	if now.Sub(p.loads.exchangedAt) >= exchangeInterval {
+		p.loads.exchangedAt = now
+		go p.exchangeLoads()
+	}
+	p.loads.collector.Report(now, vm, o)
+	return p.loads.collector.All(now)
+}
+
+// exchangeLoads fetches the sums of the other data centres.
+func (p *Plane) exchangeLoads() {
+	for _, dc := range p.otherDataCentres() {
+		go func() {
+			sums, err := p.callCollector(context.Background(), p.collectorOf(dc), &fleetpb.ReportLoad{})
+			if err != nil {
+				return
+			}
+			p.loads.mu.Lock()
+			defer p.loads.mu.Unlock()
+			p.loads.collector.Merge(p.cfg.Clock.Now(), sums)
+		}()
+	}
+}
+
+// otherDataCentres returns the data centres of the live VMs other than the own one.
+func (p *Plane) otherDataCentres() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	seen := map[string]bool{p.cfg.Settings.DataCentre: true}
+	for _, m := range p.gossip.Live() {
+		if !seen[m.DataCentre] {
+			seen[m.DataCentre] = true
+			out = append(out, m.DataCentre)
+		}
+	}
+	return out
+}
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -25,6 +25,7 @@
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/fleet/link"
+	"github.com/jasminecove/jasminecove/internal/fleet/loadsum"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
@@ -40,7 +41,10 @@
 
 // Intervals, delays and timeouts of the plane's tasks.
 const (
-	gossipTickInterval = 20 * time.Millisecond
+	// gossipTickInterval is the interval between gossip ticks; gossipFlushDelay is how long
+	// updates are collected before an additional tick sends them.
+	gossipTickInterval = 100 * time.Millisecond
+	gossipFlushDelay   = 20 * time.Millisecond
 	stampInterval      = 500 * clock.Millisecond
 	formInterval       = 200 * time.Millisecond
 	demandInterval     = 1 * time.Second
@@ -79,6 +83,8 @@
 	SetTables(doc *tables.Document)
 	TakeDigests(digests []*fleetpb.Digest) (changed []*fleetpb.Digest)
 	DigestsOf(homes []string) []*fleetpb.Digest
+	// UpstreamsHash returns a hash of the live upstreams, and HomeHashes one for each home.
+	UpstreamsHash() uint64
 	HomeHashes() []*fleetpb.HomeHash
 	HomeLost(vm string)
 	HomeBack(vm string)
@@ -99,9 +105,12 @@
 	replica   atomic.Pointer[replica.Replica] // Nil without a disk, or while it fails.
 	client    *client.Client
 	demand    *demandAggregator
+	loads     loads
 
 	mu     sync.Mutex // Guards gossip and the source of random numbers.
 	gossip *gossip.Core
+	// gossipQueued is signalled when gossip updates wait to be sent; capacity 1.
+	gossipQueued chan struct{}
 
 	current   atomic.Pointer[fleetpb.Revision]
 	installMu sync.Mutex
@@ -113,7 +122,8 @@
 	// upstreamsSynced is set when the initial fetch of upstreams from other VMs has ended.
 	upstreamsSynced atomic.Bool
 	stampedAt       atomic.Int64 // clock.Time of the newest stamp.
-	lastJoinAt      atomic.Int64 // clock.Time at which a VM last joined.
+	issuedAt        clock.Time   // When this VM last issued a stamp; used by gossipLoop only.
+	issued          uint64       // Number of stamps that this VM issued; used by gossipLoop only.
 	drainOnce       sync.Once
 	tasks           sync.WaitGroup
 	cancel          context.CancelFunc
@@ -128,8 +138,9 @@
 
 // New creates a Plane. Start runs it.
 func New(cfg Config) (*Plane, error) {
-	p := &Plane{cfg: cfg, log: cfg.Log.Named("control"), wake: make(chan struct{}, 1), failed: make(chan error, 1)}
+	p := &Plane{cfg: cfg, log: cfg.Log.Named("control"), wake: make(chan struct{}, 1), gossipQueued: make(chan struct{}, 1), failed: make(chan error, 1)}
 	p.demand = newDemandAggregator(cfg.Clock)
+	p.loads = loads{collector: loadsum.New(cfg.Settings.DataCentre), avoidUntil: map[string]clock.Time{}}
 	if p.cfg.Parse == nil {
 		p.cfg.Parse = tables.Parse
 	}
@@ -167,7 +178,6 @@
 	p.task(func() { p.gossipLoop(ctx) })
 	p.task(func() { p.fetchLoop(ctx) })
 	if p.transport != nil {
-		p.task(func() { p.antiEntropyLoop(ctx) })
 		p.task(func() { p.demandLoop(ctx) })
 	}
 	return nil
@@ -361,7 +371,7 @@
 	p.update(gossip.LeaveMsg{})
 	if p.transport != nil {
 		// Give the last messages time to be sent.
-		time.Sleep(gossipTickInterval)
+		time.Sleep(gossipFlushDelay)
 	}
 	p.cancel()
 	if p.transport != nil {
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -131,6 +131,7 @@
 	}
 	if rev != nil {
 		p.install(rev)
+		p.patches.put(reply.GetState())
 	}
 	return !p.behind()
 }
@@ -220,6 +221,15 @@
 	}
 }
 
+// put keeps a patch that was received from another VM, for the VMs that will ask this one.
+func (c *patchCache) put(n *fleetpb.RevisionNotice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(n.Patch) > 0 && c.patches != nil {
+		c.patches[[2]uint64{n.Base, n.Revision.GetNumber()}] = n.Patch
+	}
+}
+
 // get returns the current document compressed with the document of revision have as the
 // dictionary, and have as the base. If that document is not kept, it is compressed without a
 // dictionary and the base is 0.
--- /dev/null
+++ b/internal/node/router/occupancy.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"context"
+	"time"
+)
+
+// Intervals of the exchange of occupancy.
+const (
+	// occupancyInterval is the interval at which a VM of a small fleet sends its occupancy to
+	// all others, and at which a VM of a larger one repeats its findings to its gossip targets.
+	occupancyInterval = 240 * time.Millisecond
+	// reportRounds is the number of these intervals between two reports to the collector.
+	reportRounds = 2
+)
+
+// occupancyLoop tells other VMs what capacity this VM's requests hold on upstreams. An upstream
+// that was found dead is reported at once, because running requests wait for this.
+func (r *Router) occupancyLoop(ctx context.Context) {
+	ticker := time.NewTicker(occupancyInterval)
+	defer ticker.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		found := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.upstreamDied:
+			found = true
+		}
+		r.countVMs()
+		if r.plane.TargetsAll() {
+			o := r.catalog.Occupancy()
+			o.Sequence, o.Boot = sequence, r.started
+			r.plane.ShareOccupancy(o)
+			continue
+		}
+		if findings := r.catalog.Findings(); findings != nil {
+			r.plane.ShareOccupancy(findings)
+		}
+		if !found && sequence%reportRounds == 0 {
+			r.reportLoad(ctx, sequence)
+		}
+	}
+}
+
+// reportLoad exchanges the load with the other VMs of a large fleet, through the collector of
+// the data centre.
+func (r *Router) reportLoad(ctx context.Context, sequence uint64) {
+	o := r.catalog.Occupancy()
+	o.Sequence, o.Boot = sequence, r.started
+	sums, err := r.plane.ReportLoad(ctx, o)
+	if err != nil {
+		return // The plane has logged it; the next report goes to another VM.
+	}
+	r.catalog.MergeLoads(r.cfg.Settings.DataCentre, o, sums)
+}
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -49,8 +49,7 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
-	leaseTickInterval = 100 * time.Millisecond
-	occupancyInterval = 240 * time.Millisecond
+	leaseTickInterval = 200 * time.Millisecond
 	sweepInterval     = 1 * time.Second
 )
 
@@ -102,6 +101,7 @@
 	draining     atomic.Bool
 	upstreamDied chan struct{} // Signalled when an upstream was found dead; capacity 1.
 	vmCount      atomic.Int64
+	liveCount    atomic.Int64
 	mu           sync.Mutex
 	ready        bool // Readiness in the last reply to the load balancer.
 	tasks        sync.WaitGroup
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.catalog.SetVMCount(r.vms)
+	r.catalog.SetVMCount(func() int { return int(r.liveCount.Load()) })
 	r.upstreams = cfg.Upstreams(r.pool)
 	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.upstreams, Prober: r.pool, Log: r.log, Go: r.task})
 	r.handler = forward.New(forward.Config{
@@ -175,8 +175,10 @@
 	r.task(func() { delay.Every(ctx, leaseTickInterval, r.catalog.Tick) })
 	r.task(func() { delay.Every(ctx, sweepInterval, r.pool.Sweep) })
 	r.task(func() { r.occupancyLoop(ctx) })
-	c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.upstreams, Log: r.log}
-	r.task(func() { c.Run(ctx) })
+	if r.cfg.Settings.DataFolder != "" { // Only a VM with a replica can lead.
+		c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.upstreams, Log: r.log}
+		r.task(func() { c.Run(ctx) })
+	}
 	if err := r.startUpstreamStore(ctx); err != nil {
 		r.Stop()
 		return err
@@ -326,15 +328,20 @@
 // may still be serving requests.
 func (r *Router) vms() int { return max(1, int(r.vmCount.Load())) }
 
-// countVMs counts the VMs that have not left.
+// countVMs counts the VMs that have not left, and those of them that are live.
 func (r *Router) countVMs() {
-	n := int64(0)
+	all, live := int64(0), int64(0)
 	for _, m := range r.plane.Members() {
-		if m.State != fleetpb.Member_LEFT {
-			n++
+		switch m.State {
+		case fleetpb.Member_ALIVE, fleetpb.Member_SUSPECT:
+			live++
+			all++
+		case fleetpb.Member_DEAD:
+			all++
 		}
 	}
-	r.vmCount.Store(n)
+	r.vmCount.Store(all)
+	r.liveCount.Store(live)
 }
 
 func (r *Router) upstreamsChanged(c catalog.Change) {
@@ -363,30 +370,6 @@
 	}
 }
 
-// occupancyLoop publishes this VM's occupancy at regular intervals, and at once when an
-// upstream was found dead, because running requests wait for this update.
-func (r *Router) occupancyLoop(ctx context.Context) {
-	ticker := time.NewTicker(occupancyInterval)
-	defer ticker.Stop()
-	for sequence := uint64(1); ; sequence++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-r.upstreamDied:
-		}
-		r.countVMs()
-		r.shareOccupancy(sequence)
-	}
-}
-
-// shareOccupancy sends other VMs the capacity that this VM's requests hold on upstreams.
-func (r *Router) shareOccupancy(sequence uint64) {
-	o := r.catalog.Occupancy()
-	o.Sequence, o.Boot = sequence, r.started
-	r.plane.ShareOccupancy(o)
-}
-
 // RecordForeignAnnouncement counts and logs an announcement that does not identify a usable
 // upstream.
 func (r *Router) RecordForeignAnnouncement(id string, err error) {
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -41,9 +41,9 @@
 	registry      *registry.Registry
 	health        map[string]*health
 	ownUsage      map[string]*usage
-	otherUsage    map[string]*vmUsage
-	views         map[string]*poolView // By pool.
-	capacityFreed chan struct{}        // Closed when a request releases its capacity.
+	otherUsage    map[string]*otherUsage // By VM or data centre.
+	views         map[string]*poolView   // By pool.
+	capacityFreed chan struct{}          // Closed when a request releases its capacity.
 	lastTick      clock.Time
 	placements    map[string]*placement
 	linkBusyUntil map[link]float64 // Time until which each link is busy, as a fractional clock.Time.
@@ -58,14 +58,14 @@
 	return &Catalog{
 		clock: clk, vm: vm, onChange: onChange,
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
-		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*vmUsage{},
+		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*otherUsage{},
 		views: map[string]*poolView{}, capacityFreed: make(chan struct{}),
 		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
 	}
 }
 
-// SetVMCount sets the function that returns the number of VMs that send requests to the
-// same upstreams.
+// SetVMCount sets the function that returns the number of live VMs, which send requests to
+// the same upstreams.
 func (c *Catalog) SetVMCount(vmCount func() int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -231,6 +231,13 @@
 	return c.registry.DigestsOf(c.clock.Now(), homes)
 }
 
+// UpstreamsHash implements controlplane.Directory.
+func (c *Catalog) UpstreamsHash() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registry.Hash()
+}
+
 // HomeHashes implements controlplane.Directory.
 func (c *Catalog) HomeHashes() []*fleetpb.HomeHash {
 	c.mu.Lock()
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -303,3 +303,33 @@
 	_, _, err := c.ChoosePath(enginePool, chain.Request{Prompt: 5, Answer: 5, DataCentre: "x"})
 	assert.NilError(t, err)
 }
+
+// TestLoadSums checks that sums over data centres replace the reports of single VMs, and that a
+// VM's own requests count once, with their present number.
+func TestLoadSums(t *testing.T) {
+	f := newFleet(2)
+	c, other := f.catalogs[0], f.catalogs[1]
+	c.SetVMCount(func() int { return 3 })
+	c.Announce(announcement("e", "crew", "x", 1, 1, 0, 8)) // 4 slots.
+	release := c.Reserve(chain.Path{Tokens: 10, Hops: []chain.Hop{{Engine: "e", From: 0, To: 8}}})
+	other.Reserve(chain.Path{Tokens: 10, Hops: []chain.Hop{{Engine: "e", From: 0, To: 8}}})
+	f.exchangeOccupancy()
+	report := c.Occupancy()
+	c.MergeLoads("x", report, []*fleetpb.LoadSum{
+		{DataCentre: "x", Vms: 2, Holds: []*fleetpb.Hold{{Upstream: "e", Requests: 3, Tokens: 240}}},
+		{DataCentre: "y", Vms: 1, Holds: []*fleetpb.Hold{{Upstream: "e", Requests: 1, Tokens: 80}}},
+	})
+	full := enginePoolWithSlots(4)
+	_, _, err := c.ChoosePath(full, chain.Request{Prompt: 1, Answer: 1, DataCentre: "x"})
+	assert.Equal(t, err, chain.ErrFull)
+	release()
+	_, _, err = c.ChoosePath(full, chain.Request{Prompt: 1, Answer: 1, DataCentre: "x"})
+	assert.NilError(t, err)
+}
+
+// enginePoolWithSlots returns enginePool with another number of slots.
+func enginePoolWithSlots(slots int) *tables.Pool {
+	engine := *enginePool.Engine
+	engine.Slots = slots
+	return &tables.Pool{Name: "few", Service: "crew", Engine: &engine}
+}
--- a/internal/routing/catalog/occupancy.go
+++ b/internal/routing/catalog/occupancy.go
@@ -18,10 +18,12 @@
 	tokens   int // Tokens times layers.
 }
 
-// vmUsage is the latest occupancy report of one VM.
-type vmUsage struct {
+// otherUsage is the latest report of the load of other VMs: of one VM, or of those of one data
+// centre.
+type otherUsage struct {
+	vms            int // Number of VMs that the report covers.
 	boot, sequence uint64
-	at             clock.Time // When the report was received.
+	at             clock.Time // When the report was made.
 	byUpstream     map[string]usage
 }
 
@@ -97,17 +99,61 @@
 		c.MarkDead(id, false)
 	}
 	c.mergePlacements(o.Placed)
+	if o.FindingsOnly {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	previous := c.otherUsage[vm]
 	if previous != nil && (o.Boot < previous.boot || o.Boot == previous.boot && o.Sequence <= previous.sequence) {
 		return
 	}
-	next := &vmUsage{boot: o.Boot, sequence: o.Sequence, at: c.clock.Now(), byUpstream: make(map[string]usage, len(o.Holds))}
-	for _, h := range o.Holds {
-		next.byUpstream[h.Upstream] = usage{requests: int(h.Requests), tokens: int(h.Tokens)}
+	c.otherUsage[vm] = &otherUsage{vms: 1, boot: o.Boot, sequence: o.Sequence, at: c.clock.Now(), byUpstream: usageByUpstream(o.Holds)}
+}
+
+// Findings returns the part of this VM's report that other VMs need at once: the dead upstreams
+// and layer placements. It returns nil if there are none.
+func (c *Catalog) Findings() *fleetpb.Occupancy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	o := &fleetpb.Occupancy{FindingsOnly: true, Unreachable: c.deadToReport(now), Placed: c.placementsToReport(now)}
+	if len(o.Unreachable)+len(o.Placed) == 0 {
+		return nil
+	}
+	return o
+}
+
+// MergeLoads replaces the load of other VMs by the sums over data centres. The sum of this VM's
+// own data centre includes its report.
+func (c *Catalog) MergeLoads(dataCentre string, report *fleetpb.Occupancy, sums []*fleetpb.LoadSum) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	for source, v := range c.otherUsage {
+		if v.boot != 0 { // The report of a single VM.
+			delete(c.otherUsage, source)
+		}
+	}
+	for _, s := range sums {
+		next := &otherUsage{vms: int(s.Vms), at: now.Add(-clock.Duration(s.AgeMs)), byUpstream: usageByUpstream(s.Holds)}
+		if s.DataCentre == dataCentre {
+			next.vms--
+			for _, h := range report.Holds {
+				u := next.byUpstream[h.Upstream]
+				next.byUpstream[h.Upstream] = usage{requests: max(0, u.requests-int(h.Requests)), tokens: max(0, u.tokens-int(h.Tokens))}
+			}
+		}
+		c.otherUsage[s.DataCentre] = next
+	}
+}
+
+func usageByUpstream(holds []*fleetpb.Hold) map[string]usage {
+	out := make(map[string]usage, len(holds))
+	for _, h := range holds {
+		out[h.Upstream] = usage{requests: int(h.Requests), tokens: int(h.Tokens)}
 	}
-	c.otherUsage[vm] = next
+	return out
 }
 
 // usageOf returns the load of all VMs' requests on an upstream. It scales the sum up for
@@ -117,17 +163,19 @@
 	if h := c.ownUsage[id]; h != nil {
 		sum = *h
 	}
-	for vm, v := range c.otherUsage {
+	reporting := 1
+	for source, v := range c.otherUsage {
 		if now.Sub(v.at) > occupancyLifetime {
-			delete(c.otherUsage, vm)
+			delete(c.otherUsage, source)
 			continue
 		}
 		h := v.byUpstream[id]
 		sum.requests += h.requests
 		sum.tokens += h.tokens
+		reporting += v.vms
 	}
 	// VMs without a valid report are assumed to send as much as the others on average.
-	if reporting, all := 1+len(c.otherUsage), c.vmCount(); all > reporting {
+	if all := c.vmCount(); all > reporting {
 		sum.requests = sum.requests * all / reporting
 		sum.tokens = sum.tokens * all / reporting
 	}
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -212,6 +212,13 @@
 	return d.registry.DigestsOf(d.clock.Now(), homes)
 }
 
+// UpstreamsHash returns a hash of the known upstreams.
+func (d *Directory) UpstreamsHash() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.Hash()
+}
+
 // HomeHashes returns a hash of the known upstreams of each home VM.
 func (d *Directory) HomeHashes() []*fleetpb.HomeHash {
 	d.mu.Lock()
