Ask engines for their pace, and lead requests around slow ones

VMs only saw that an answer was slow, and blamed all engines of its path alike.

Change: the VM that an engine announces itself to asks it each second for a report, which says its pace; paces travel with the occupancy and the sums of the load, count for 3 s, and multiply the engine's cost in the choice of a path.

--- a/internal/fleet/loadsum/loadsum.go
+++ b/internal/fleet/loadsum/loadsum.go
@@ -1,4 +1,5 @@
-// Package loadsum sums up how much of the upstreams' capacity the requests of many VMs hold.
+// Package loadsum sums up how much of the upstreams' capacity the requests of many VMs hold,
+// and gathers the slow engines that they found.
 // One VM of each data centre is its collector: the others report to it, and get the sums of
 // all data centres in return. A VM so learns the load of the whole fleet from one call,
 // whatever the size of the fleet.
@@ -48,6 +49,7 @@
 	at             clock.Time
 	boot, sequence uint64
 	holds          []*fleetpb.Hold
+	slow           []*fleetpb.Slow
 }
 
 type sum struct {
@@ -68,7 +70,7 @@
 	}
 	c.add(previous.holds, -1)
 	c.add(o.Holds, 1)
-	c.reports[vm] = report{at: now, boot: o.Boot, sequence: o.Sequence, holds: o.Holds}
+	c.reports[vm] = report{at: now, boot: o.Boot, sequence: o.Sequence, holds: o.Holds, slow: o.Slow}
 }
 
 // add adds holds to the sum, or subtracts them if sign is -1.
@@ -104,6 +106,9 @@
 		}
 	}
 	out := &fleetpb.LoadSum{DataCentre: c.dataCentre, Vms: uint32(len(c.reports)), Holds: make([]*fleetpb.Hold, 0, len(c.own))}
+	for _, r := range c.reports {
+		out.Slow = append(out.Slow, r.slow...)
+	}
 	for id, l := range c.own {
 		out.Holds = append(out.Holds, &fleetpb.Hold{Upstream: id, Requests: uint32(l.requests), Tokens: uint64(l.tokens)})
 	}
@@ -118,7 +123,7 @@
 			delete(c.others, dc)
 			continue
 		}
-		out = append(out, &fleetpb.LoadSum{DataCentre: dc, Vms: s.Vms, Holds: s.Holds, AgeMs: uint32(now.Sub(s.at))})
+		out = append(out, &fleetpb.LoadSum{DataCentre: dc, Vms: s.Vms, Holds: s.Holds, Slow: s.Slow, AgeMs: uint32(now.Sub(s.at))})
 	}
 	return out
 }
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/jasminecove/jasminecove/internal/node/controlplane"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/node/detector"
+	"github.com/jasminecove/jasminecove/internal/node/monitor"
 	"github.com/jasminecove/jasminecove/internal/node/placer"
 	"github.com/jasminecove/jasminecove/internal/node/rejoin"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
@@ -175,6 +176,8 @@
 	r.task(func() { delay.Every(ctx, leaseTickInterval, r.catalog.Tick) })
 	r.task(func() { delay.Every(ctx, sweepInterval, r.pool.Sweep) })
 	r.task(func() { r.occupancyLoop(ctx) })
+	m := &monitor.Monitor{Catalog: r.catalog, Engines: r.upstreams, Log: r.log}
+	r.task(func() { delay.Every(ctx, monitor.Interval, func() { m.Poll(ctx) }) })
 	if r.cfg.Settings.DataFolder != "" { // Only a VM with a replica can lead.
 		c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.upstreams, Log: r.log}
 		r.task(func() { c.Run(ctx) })
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -46,6 +46,7 @@
 	capacityFreed chan struct{}          // Closed when a request releases its capacity.
 	lastTick      clock.Time
 	placements    map[string]*placement
+	paces         map[string]pace  // Of slow engines.
 	linkBusyUntil map[link]float64 // Time until which each link is busy, as a fractional clock.Time.
 	vmCount       func() int
 	watchers      map[string]map[watchEntry]struct{} // By upstream.
@@ -60,7 +61,7 @@
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*otherUsage{},
 		views: map[string]*poolView{}, capacityFreed: make(chan struct{}),
-		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
+		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
 	}
 }
 
@@ -135,6 +136,7 @@
 	case known && !live:
 		change.Ended = append(change.Ended, previous.Id)
 		delete(c.health, previous.Id)
+		delete(c.paces, previous.Id)
 		return
 	case !live:
 		return
@@ -144,6 +146,7 @@
 	case previous.StartedMs != current.StartedMs:
 		// The upstream restarted, so the health of its earlier process no longer applies.
 		delete(c.health, current.Id)
+		delete(c.paces, current.Id)
 		for w := range c.watchers[current.Id] {
 			w.fire()
 		}
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -112,10 +112,10 @@
 			continue
 		}
 		used := c.usageOf(u.Id, now)
-		from, to := int(u.LayerFrom), int(u.LayerTo)
+		from, to, pace := int(u.LayerFrom), int(u.LayerTo), c.paceOf(u.Id, now)
 		e := chain.Engine{
 			ID: u.Id, Address: u.Address, DataCentre: u.DataCentre, From: from, To: to,
-			StepFactor: k.StepFactor, ReadFactor: k.ReadFactor, Slowdown: 1 + c.slowdownOf(u.Id, now),
+			StepFactor: pace * k.StepFactor, ReadFactor: pace * k.ReadFactor, Slowdown: 1 + c.slowdownOf(u.Id, now),
 			Capacity: capacityOf(p.Engine, k, to-from), Used: float64(used.tokens), Requests: used.requests,
 		}
 		if from == 0 {
--- a/internal/routing/catalog/occupancy.go
+++ b/internal/routing/catalog/occupancy.go
@@ -88,6 +88,7 @@
 	now := c.clock.Now()
 	o.Unreachable = c.deadToReport(now)
 	o.Placed = c.placementsToReport(now)
+	o.Slow = c.pacesToReport(now)
 	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return o
 }
@@ -104,6 +105,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.mergePaces(o.Slow, 0)
 	previous := c.otherUsage[vm]
 	if previous != nil && (o.Boot < previous.boot || o.Boot == previous.boot && o.Sequence <= previous.sequence) {
 		return
@@ -136,6 +138,7 @@
 		}
 	}
 	for _, s := range sums {
+		c.mergePaces(s.Slow, s.AgeMs)
 		next := &otherUsage{vms: int(s.Vms), at: now.Add(-clock.Duration(s.AgeMs)), byUpstream: usageByUpstream(s.Holds)}
 		if s.DataCentre == dataCentre {
 			next.vms--
