Close all gaps of a data centre in one plan, and vacate engines before they give up layers

Each gap was closed by itself: by an idle engine, or by a neighbour that loads one layer and keeps memory for 30,000 tokens. A chain needs all layers, so that closing one gap of three serves nobody. An engine that is moved waits for the requests on the layers that it gives up: for up to 9 s, for a last slow one; its new leader ordered it again each second meanwhile (409).

Change: a plan looks for the best engine and range for the gaps of its data centre, with as much memory for requests as possible and at the end with little, and takes changes of engines in use only if they close all gaps, or if no engine of the fleet holds a layer. Where memory is short next to a gap, the ranges of its neighbours are shifted. Engines that more than 8 requests use give up layers only in that last case. Before an engine gives up layers all VMs lead their requests around it; at most three that are left are cut, and resume elsewhere. A refused order no longer counts as the range that it asked for. The wait before engines in use close gaps that other data centres can serve is 1.2 s, was 3.5 s.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -45,7 +45,7 @@
 	replaceDelay = 700 * clock.Millisecond
 	// growDelay is how long a gap must persist before engines in use are extended to
 	// cover it.
-	growDelay = 3500 * clock.Millisecond
+	growDelay = 1200 * clock.Millisecond
 	// newEnginePeriod is how long an engine counts as new; see layers.Engine.
 	newEnginePeriod = 2500 * clock.Millisecond
 	// reportInterval is the interval at which an engine is asked whether it has executed
@@ -54,9 +54,15 @@
 	// firstPlanTimeout bounds the wait for a stable set of engines before the first plan.
 	firstPlanTimeout = 4 * clock.Second
 	// minLeaseLeft is the remaining lease that is required to send an order.
-	minLeaseLeft  = 50 * clock.Millisecond
-	orderTimeout  = 1 * time.Second
-	reportTimeout = 300 * time.Millisecond
+	minLeaseLeft = 50 * clock.Millisecond
+	orderTimeout = 1 * time.Second
+	// vacateDelay is how long requests may take to leave an engine that gives up layers, and to
+	// be reported as gone.
+	vacateDelay = 600 * time.Millisecond
+	// maxCutRequests is how many requests that did not leave may be cut, to resume elsewhere. The
+	// engine waits for more than these, which can take many seconds.
+	maxCutRequests = 3
+	reportTimeout  = 300 * time.Millisecond
 	// unansweredDelay is how long an engine gets no further order after one that got no
 	// reply.
 	unansweredDelay = 1500 * clock.Millisecond
@@ -72,6 +78,7 @@
 	Engine, Address string
 	From, To        int
 	Expected        int64 // Number of orders that the engine has accepted so far.
+	Cut             bool  // Requests on layers that the engine gives up are cut. Otherwise it waits for them.
 	Term            uint64
 }
 
@@ -120,8 +127,9 @@
 type engineState struct {
 	startedMs     uint64
 	accepted      int64
-	acceptedKnown bool // accepted is valid.
-	from, to      int  // Range of the pending order.
+	acceptedKnown bool       // accepted is valid.
+	blockedUntil  clock.Time // The engine gets no order before this time.
+	from, to      int        // Range of the pending order.
 	pendingUntil  clock.Time
 	checkAt       clock.Time // When the order should have been executed; 0 once that is settled.
 }
@@ -164,7 +172,7 @@
 			continue
 		}
 		upstreams[u.Id] = u
-		e := layers.Engine{ID: u.Id, DataCentre: u.DataCentre, MemoryMB: k.MemoryMB, StepFactor: k.StepFactor, From: int(u.LayerFrom), To: int(u.LayerTo), Settled: true}
+		e := layers.Engine{ID: u.Id, DataCentre: u.DataCentre, MemoryMB: k.MemoryMB, StepFactor: k.StepFactor, From: int(u.LayerFrom), To: int(u.LayerTo), Settled: true, Requests: c.Catalog.Requests(u.Id)}
 		c.applyPending(now, u, &e)
 		e.New = e.To == e.From && anyHeld && now.Sub(u.FirstSeen) < newEnginePeriod
 		engines = append(engines, e)
@@ -242,7 +250,13 @@
 // applyPending replaces an engine's range by that of its pending order.
 func (c *Controller) applyPending(now clock.Time, u *registry.Upstream, e *layers.Engine) {
 	st := c.states[u.Id]
-	if st == nil || st.startedMs != u.StartedMs || st.pendingUntil == 0 {
+	if st == nil || st.startedMs != u.StartedMs {
+		return
+	}
+	if now < st.blockedUntil {
+		e.Settled = false
+	}
+	if st.pendingUntil == 0 {
 		return
 	}
 	if e.From == st.from && e.To == st.to || !now.Before(st.pendingUntil) {
@@ -283,7 +297,7 @@
 		r, err := c.API.Report(ctx, u.Id, u.Address)
 		if err != nil {
 			c.Log.Decision("engineReportFailed", u.Id, "address", u.Address, "error", err.Error())
-			st.pendingUntil, st.from, st.to = c.Clock.Now().Add(unansweredDelay), int(u.LayerFrom), int(u.LayerTo)+1
+			st.blockedUntil = c.Clock.Now().Add(unansweredDelay)
 			return
 		}
 		st.accepted, st.acceptedKnown = r.Taken, true
@@ -291,7 +305,11 @@
 	if term, leaseLeft := c.Lease.OrderLease(); term != c.term || leaseLeft <= minLeaseLeft {
 		return
 	}
-	err := c.API.Place(ctx, Order{Engine: u.Id, Address: u.Address, From: o.From, To: o.To, Expected: st.accepted, Term: c.term})
+	cut := false
+	if o.From > int(u.LayerFrom) || o.To < int(u.LayerTo) {
+		cut = c.vacate(ctx, u.Id) <= maxCutRequests
+	}
+	err := c.API.Place(ctx, Order{Engine: u.Id, Address: u.Address, From: o.From, To: o.To, Expected: st.accepted, Term: c.term, Cut: cut})
 	now := c.Clock.Now()
 	switch {
 	case err == nil:
@@ -299,9 +317,9 @@
 		st.from, st.to, st.pendingUntil = o.From, o.To, now.Add(loadTime*maxLoadSlowdown+loadMargin)
 		st.checkAt = now.Add(loadTime)
 	case errors.Is(err, ErrRefused):
-		// The engine may still execute an earlier order.
+		// The engine may still be executing an earlier order.
 		st.acceptedKnown = false
-		st.from, st.to, st.pendingUntil = o.From, o.To, now.Add(refusedDelay)
+		st.blockedUntil = now.Add(refusedDelay)
 	default:
 		st.acceptedKnown = false
 		st.from, st.to, st.pendingUntil = o.From, o.To, now.Add(unansweredDelay)
@@ -314,6 +332,19 @@
 		"reason", o.Reason, "expected", st.accepted, "term", c.term, "outcome", text, "heardMsAgo", int64(now.Sub(u.LastSeen)))
 }
 
+// vacate has requests led around an engine that gives up layers, and returns how many are left.
+func (c *Controller) vacate(ctx context.Context, id string) (left int) {
+	before := c.Catalog.Requests(id)
+	if before == 0 {
+		return 0
+	}
+	c.Catalog.Vacate(id)
+	_ = delay.Wait(ctx, vacateDelay)
+	left = c.Catalog.Requests(id)
+	c.Log.Decision("engineVacated", id, "requests", before, "left", left)
+	return left
+}
+
 // maxLoadSlowdown is the largest factor by which concurrent loads are expected to slow each
 // other down.
 const maxLoadSlowdown = 4
--- a/internal/node/router/occupancy.go
+++ b/internal/node/router/occupancy.go
@@ -15,7 +15,8 @@
 )
 
 // occupancyLoop tells other VMs what capacity this VM's requests hold on upstreams. An upstream
-// that was found dead is reported at once, because running requests wait for this.
+// that was found dead, or is to be vacated, is reported at once, because running requests or an
+// order wait for this.
 func (r *Router) occupancyLoop(ctx context.Context) {
 	ticker := time.NewTicker(occupancyInterval)
 	defer ticker.Stop()
@@ -25,7 +26,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-r.upstreamDied:
+		case <-r.found:
 			found = true
 		}
 		r.countVMs()
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -99,20 +99,20 @@
 	servers    []*http.Server
 	started    uint64
 
-	draining     atomic.Bool
-	upstreamDied chan struct{} // Signalled when an upstream was found dead; capacity 1.
-	vmCount      atomic.Int64
-	liveCount    atomic.Int64
-	mu           sync.Mutex
-	ready        bool // Readiness in the last reply to the load balancer.
-	tasks        sync.WaitGroup
-	cancel       context.CancelFunc
+	draining  atomic.Bool
+	found     chan struct{} // Signalled when other VMs must be told of findings at once; capacity 1.
+	vmCount   atomic.Int64
+	liveCount atomic.Int64
+	mu        sync.Mutex
+	ready     bool // Readiness in the last reply to the load balancer.
+	tasks     sync.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // New creates a Router. Start runs it.
 func New(cfg Config) (*Router, error) {
 	s := cfg.Settings
-	r := &Router{cfg: cfg, clock: clock.NewSystem(), pool: call.NewPool(), upstreamDied: make(chan struct{}, 1)}
+	r := &Router{cfg: cfg, clock: clock.NewSystem(), pool: call.NewPool(), found: make(chan struct{}, 1)}
 	r.started = uint64(r.clock.Now())
 	r.log = decision.New(s.VM, hclog.LevelFromString(s.Telemetry.LogLevel), cfg.Out)
 	var err error
@@ -363,8 +363,10 @@
 	}
 	for _, id := range c.Dead {
 		r.log.Decision("upstreamDead", id)
+	}
+	if len(c.Dead)+len(c.Vacating) > 0 {
 		select {
-		case r.upstreamDied <- struct{}{}:
+		case r.found <- struct{}{}:
 		default:
 		}
 	}
--- a/internal/request/forward/target.go
+++ b/internal/request/forward/target.go
@@ -81,38 +81,45 @@
 }
 
 // watchEngines moves the run to another path when one of its engines is found dead, or cancels it
-// if that fails.
+// if that fails. It also tries another path when an engine is about to give up layers, which
+// otherwise waits for the run.
 func (s *stream) watchEngines(ctx context.Context, t *target, cancel context.CancelCauseFunc) {
-	t.setWatch(s.h.cfg.Catalog.Watch(t.engineIDs(), func(dead string) {
+	lost := func(dead string) {
 		if !s.repath(ctx, t, dead) {
 			cancel(errEngineDead)
 			return
 		}
 		s.watchEngines(ctx, t, cancel)
-	}))
+	}
+	vacate := func(id string) {
+		if s.repath(ctx, t, id) {
+			s.watchEngines(ctx, t, cancel)
+		}
+	}
+	t.setWatch(s.h.cfg.Catalog.Watch(t.engineIDs(), lost, vacate))
 }
 
-// repath tells the first engine to route a running request around a dead engine. The other
-// engines keep their state of the request, and no second run starts.
-func (s *stream) repath(ctx context.Context, t *target, dead string) bool {
+// repath tells the first engine to route a running request around an engine. The other engines
+// keep their state of the request, and no second run starts.
+func (s *stream) repath(ctx context.Context, t *target, around string) bool {
 	old := t.currentPath()
-	if s.h.cfg.Repath == nil || len(old.Hops) == 0 || dead == t.id || ctx.Err() != nil {
+	if s.h.cfg.Repath == nil || len(old.Hops) == 0 || around == t.id || ctx.Err() != nil {
 		return false
 	}
 	p, release, err := s.h.cfg.Catalog.ChoosePath(s.x.Forward.Pool, chain.Request{
-		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: map[string]bool{dead: true}, AllowedFirst: map[string]bool{t.id: true},
+		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: map[string]bool{around: true}, AllowedFirst: map[string]bool{t.id: true},
 	})
 	if err != nil {
 		return false
 	}
-	if p.Hops[0] != old.Hops[0] || slices.ContainsFunc(p.Hops, func(h chain.Hop) bool { return h.Engine == dead }) {
+	if p.Hops[0] != old.Hops[0] || slices.ContainsFunc(p.Hops, func(h chain.Hop) bool { return h.Engine == around }) {
 		release()
 		return false
 	}
 	ctx, stop := context.WithTimeout(ctx, repathTimeout)
 	defer stop()
 	err = s.h.cfg.Repath(ctx, t.id, t.address, s.x.ID, p.Hops)
-	s.h.cfg.Log.Decision("pathChanged", s.x.ID, "upstream", t.id, "lost", dead, "hops", len(p.Hops), "error", errText(err),
+	s.h.cfg.Log.Decision("pathChanged", s.x.ID, "upstream", t.id, "around", around, "hops", len(p.Hops), "error", errText(err),
 		"estimateTokenMs", p.TokenMs, "atMs", time.Since(s.x.Received).Milliseconds())
 	if err != nil || !t.replacePath(p, release) {
 		release()
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -28,6 +28,8 @@
 	Leaving []string          // Upstreams that began to leave.
 	Ended   []string          // Upstreams that were removed or restarted, or whose lease ran out.
 	Dead    []string          // Upstreams that were found dead.
+	// Vacating are engines around which requests are to be led.
+	Vacating []string
 }
 
 // Catalog is one VM's view of the upstreams.
@@ -46,8 +48,9 @@
 	capacityFreed chan struct{}          // Closed when a request releases its capacity.
 	lastTick      clock.Time
 	placements    map[string]*placement
-	paces         map[string]pace  // Of slow engines.
-	linkBusyUntil map[link]float64 // Time until which each link is busy, as a fractional clock.Time.
+	paces         map[string]pace       // Of slow engines.
+	vacated       map[string]clock.Time // When each engine was last vacated.
+	linkBusyUntil map[link]float64      // Time until which each link is busy, as a fractional clock.Time.
 	vmCount       func() int
 	watchers      map[string]map[watchEntry]struct{} // By upstream.
 }
@@ -61,7 +64,7 @@
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*otherUsage{},
 		views: map[string]*poolView{}, capacityFreed: make(chan struct{}),
-		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
+		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, vacated: map[string]clock.Time{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
 	}
 }
 
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -190,7 +190,7 @@
 		f.catalogs[0].Announce(announcement(id, "crew", "x", 1, 1, 0, 8))
 	}
 	lost := make(chan string, 2)
-	w := f.catalogs[1].Watch([]string{"e1", "e2"}, func(id string) { lost <- id })
+	w := f.catalogs[1].Watch([]string{"e1", "e2"}, func(id string) { lost <- id }, func(string) { t.Error("a dead engine was vacated") })
 	defer w.Stop()
 	f.catalogs[0].MarkDead("e1", true)
 	f.exchangeOccupancy()
@@ -333,3 +333,33 @@
 	engine.Slots = slots
 	return &tables.Pool{Name: "few", Service: "crew", Engine: &engine}
 }
+
+// TestVacate checks that all VMs lead their requests around an engine that one of them wants
+// vacated, that new requests avoid it, and that it is used again later.
+func TestVacate(t *testing.T) {
+	f := newFleet(3)
+	for _, id := range []string{"e1", "e2"} {
+		f.catalogs[0].Announce(announcement(id, "crew", "x", 1, 1, 0, 8))
+	}
+	moved := make(chan string, 2)
+	w := f.catalogs[2].Watch([]string{"e1"}, func(string) { t.Error("a vacated engine was taken for dead") }, func(id string) { moved <- id })
+	defer w.Stop()
+	f.catalogs[0].Vacate("e1")
+	f.catalogs[1].MergeOccupancy("a", f.catalogs[0].Findings())
+	f.catalogs[2].MergeOccupancy("b", f.catalogs[1].Findings()) // Forwarded by a VM that is not the first.
+	f.catalogs[2].MergeOccupancy("a", f.catalogs[0].Findings())
+	assert.Equal(t, <-moved, "e1")
+	assert.Equal(t, len(moved), 0, "the requests were moved twice")
+	choose := func() string {
+		p, release, err := f.catalogs[2].ChoosePath(enginePool, chain.Request{Prompt: 10, Answer: 10, DataCentre: "x"})
+		assert.NilError(t, err)
+		defer release()
+		return p.Hops[0].Engine
+	}
+	assert.Equal(t, choose(), "e2")
+	f.clock.Advance(2 * clock.Second)
+	assert.Assert(t, f.catalogs[0].Findings() == nil)
+	release := f.catalogs[2].Reserve(chain.Path{Tokens: 10, Hops: []chain.Hop{{Engine: "e2", From: 0, To: 8}}})
+	defer release()
+	assert.Equal(t, choose(), "e1")
+}
--- a/internal/routing/catalog/occupancy.go
+++ b/internal/routing/catalog/occupancy.go
@@ -89,6 +89,7 @@
 	o.Unreachable = c.deadToReport(now)
 	o.Placed = c.placementsToReport(now)
 	o.Slow = c.pacesToReport(now)
+	o.Vacate = c.vacatedToReport(now)
 	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return o
 }
@@ -100,6 +101,9 @@
 		c.MarkDead(id, false)
 	}
 	c.mergePlacements(o.Placed)
+	for _, id := range o.Vacate {
+		c.Vacate(id)
+	}
 	if o.FindingsOnly {
 		return
 	}
@@ -119,8 +123,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	o := &fleetpb.Occupancy{FindingsOnly: true, Unreachable: c.deadToReport(now), Placed: c.placementsToReport(now)}
-	if len(o.Unreachable)+len(o.Placed) == 0 {
+	o := &fleetpb.Occupancy{FindingsOnly: true, Unreachable: c.deadToReport(now), Placed: c.placementsToReport(now), Vacate: c.vacatedToReport(now)}
+	if len(o.Unreachable)+len(o.Placed)+len(o.Vacate) == 0 {
 		return nil
 	}
 	return o
--- a/internal/routing/catalog/watch.go
+++ b/internal/routing/catalog/watch.go
@@ -2,12 +2,13 @@
 
 import "sync"
 
-// Watch is a subscription to the death of the upstreams that a request depends on.
+// Watch is a subscription to changes of the upstreams that a request depends on.
 type Watch struct {
-	once sync.Once
-	lost func(id string)
-	ids  []string
-	c    *Catalog
+	once   sync.Once
+	lost   func(id string)
+	vacate func(id string)
+	ids    []string
+	c      *Catalog
 }
 
 // watchEntry registers a Watch for one upstream.
@@ -19,9 +20,10 @@
 func (w watchEntry) fire() { w.w.once.Do(func() { go w.w.lost(w.id) }) }
 
 // Watch calls lost in a new goroutine, at most once, when one of the upstreams is found
-// dead or restarts. The caller must call Stop on the result.
-func (c *Catalog) Watch(ids []string, lost func(id string)) *Watch {
-	w := &Watch{lost: lost, ids: ids, c: c}
+// dead or restarts, and vacate when the request should be led around one of them. The caller
+// must call Stop on the result.
+func (c *Catalog) Watch(ids []string, lost, vacate func(id string)) *Watch {
+	w := &Watch{lost: lost, vacate: vacate, ids: ids, c: c}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
--- a/internal/routing/layers/layers.go
+++ b/internal/routing/layers/layers.go
@@ -27,9 +27,11 @@
 	// minHolders is how many engines in the fleet must hold a layer so that paths can
 	// use other data centres for it and a local gap is tolerable.
 	minHolders = 2
-	// minCapacityTokens is the capacity in tokens that an engine must keep when its range
-	// grows.
-	minCapacityTokens = 30_000
+	// minGapTokens is the least memory for requests that an engine keeps when it closes a gap.
+	minGapTokens = 10_000
+	// maxMovedRequests is how many requests may use an engine that gives up layers while
+	// requests can still be served elsewhere.
+	maxMovedRequests = 8
 )
 
 // Model describes the size of the model.
@@ -51,6 +53,8 @@
 	MemoryMB   float64
 	StepFactor float64 // Relative duration of a decode step; higher is slower.
 	From, To   int     // Layer range held, To exclusive; equal when it holds none.
+	// Requests is the number of requests that use the engine.
+	Requests int
 	// Settled is false while an order is in progress. Such an engine gets no other order.
 	Settled bool
 	// New is true for an engine that has just joined. It is assigned only to gaps,
--- a/internal/routing/layers/layers_test.go
+++ b/internal/routing/layers/layers_test.go
@@ -210,3 +210,86 @@
 		}
 	}
 }
+
+// lose removes the engines that hold a layer in a data centre.
+func lose(engines []layers.Engine, dc string, layer int) []layers.Engine {
+	kept := engines[:0:0]
+	for _, e := range engines {
+		if e.DataCentre != dc || layer < e.From || layer >= e.To {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// TestPlanClosesAllGapsAtOnce loses the holders of two separate layers of a data centre whose
+// other engines have memory to spare, and checks that one plan closes all gaps: requests can be
+// served there only after the last one is closed.
+func TestPlanClosesAllGapsAtOnce(t *testing.T) {
+	engines := fleet()
+	applyOrders(t, engines, layers.Plan(model, engines, false))
+	engines = lose(lose(engines, "h", 5), "h", 75)
+	assert.Assert(t, countMissing(engines, "h") > 0)
+	applyOrders(t, engines, layers.Plan(model, engines, true))
+	assert.Equal(t, countMissing(engines, "h"), 0)
+}
+
+// TestPlanNothingServable loses so much that no engine of the fleet holds some layers, and
+// checks that engines in use close the gaps at once, whatever memory that leaves them.
+func TestPlanNothingServable(t *testing.T) {
+	engines := fleet()
+	applyOrders(t, engines, layers.Plan(model, engines, false))
+	for i := range engines {
+		engines[i].Requests = 50
+	}
+	for _, dc := range []string{"e", "h", "s"} {
+		engines = lose(engines, dc, 40)
+	}
+	applyOrders(t, engines, layers.Plan(model, engines, false))
+	held := [80]bool{}
+	for _, e := range engines {
+		for l := e.From; l < e.To; l++ {
+			held[l] = true
+		}
+	}
+	for l, h := range held {
+		assert.Assert(t, h, "layer %d", l)
+	}
+}
+
+// TestPlanSparesBusyEngines checks that no engine gives up layers on which many requests run,
+// as long as other data centres serve the model.
+func TestPlanSparesBusyEngines(t *testing.T) {
+	for layer := range 80 {
+		engines := fleet()
+		applyOrders(t, engines, layers.Plan(model, engines, false))
+		for i := range engines {
+			engines[i].Requests = 50
+		}
+		engines = lose(engines, "h", layer)
+		for _, o := range layers.Plan(model, engines, true) {
+			for _, e := range engines {
+				assert.Assert(t, e.ID != o.Engine || o.From <= e.From && o.To >= e.To || e.To == e.From, "order %v takes layers away from %+v", o, e)
+			}
+		}
+	}
+}
+
+// TestIdleEngineRestoresFastChain checks that a fast engine that comes back empty gets layers of
+// the fastest chain, also when slower engines of its data centre hold them all.
+func TestIdleEngineRestoresFastChain(t *testing.T) {
+	engines := fleet()
+	applyOrders(t, engines, layers.Plan(model, engines, false))
+	for i, e := range engines {
+		if e.ID == "h-large-0" {
+			engines[i].From, engines[i].To = 0, 0
+		}
+	}
+	for _, o := range layers.Plan(model, engines, false) {
+		if o.Engine == "h-large-0" {
+			assert.Assert(t, o.To-o.From >= 30, "%+v", o)
+			return
+		}
+	}
+	t.Fatal("the engine got no layers")
+}
--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -1,125 +1,192 @@
 package layers
 
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
 // repair changes the ranges of a group in which some engines hold layers.
 type repair struct {
 	m          Model
 	engines    []Engine
 	holders    []int          // Number of engines in all groups that hold each layer.
-	growAlways bool           // Engines may grow into any gap.
+	growAlways bool           // Engines in use may load any layer that the group lacks.
+	maxHolders int            // See fillGaps.
 	reasons    map[int]string // Reason of the order for each changed engine, by index.
 	idleReason string         // Reason of orders that only add capacity.
 }
 
-// closeGaps covers layers that no engine of the group holds. It uses idle engines first,
-// then extends the engines next to the gap, the one with more capacity first. While other
-// engines of the fleet hold the gap's layers, no engine is moved away from its own
-// layers, because requests in flight would lose their caches.
+// closeGaps covers layers that no engine of the group holds: with idle engines, and with engines
+// in use, which load more layers, or give up layers that others of the group hold too. Engines
+// in use stop their requests while they load. They are therefore changed only for layers that
+// no engine of the fleet holds, or if that closes all gaps of the group and few engines of the
+// fleet hold the layers, or growAlways is set.
 func (p *repair) closeGaps() {
-	skip := 0
-	for range p.m.Layers {
-		from, to := p.nextGap(skip)
-		if from == to {
-			return
-		}
-		if p.assignIdleToGap(from, to) || p.grow(from, to) {
-			continue
-		}
-		if p.holders[from] == 0 && p.moveRedundant(from, to) {
-			continue
-		}
-		skip = to
+	p.fillGaps(1)
+	if p.unservable() {
+		p.cascadeGaps() // No request can be served anyway.
+	}
+	if !p.hasGap() {
+		return
+	}
+	maxHolders := minHolders
+	if p.growAlways {
+		maxHolders = math.MaxInt
+	}
+	q := p.clone()
+	q.fillGaps(maxHolders)
+	if q.hasGap() && p.growAlways {
+		q = p.clone()
+		q.cascadeGaps()
+	}
+	if !q.hasGap() {
+		*p = *q
 	}
 }
 
-// nextGap returns the first range at or after a layer that no engine of the group holds.
-// The range is empty if there is none.
-func (p *repair) nextGap(after int) (from, to int) {
-	holders := countHolders(p.m, p.engines)
-	for from = after; from < p.m.Layers && holders[from] > 0; {
-		from++
-	}
-	for to = from; to < p.m.Layers && holders[to] == 0; {
-		to++
+// unservable reports whether no engine of the fleet holds some layer.
+func (p *repair) unservable() bool { return slices.Contains(p.holders, 0) }
+
+// cascadeGaps closes gaps by cascades, with as much memory for requests as possible.
+func (p *repair) cascadeGaps() {
+	for tokens := p.m.chainTokens() / 2; p.hasGap(); tokens = max(minGapTokens, tokens/2) {
+		for p.cascade(tokens) {
+		}
+		if tokens == minGapTokens {
+			return
+		}
 	}
-	return from, to
 }
 
-// assignIdleToGap assigns a gap to the smallest idle engine that can hold all of it, or
-// to the largest idle engine when none can.
-func (p *repair) assignIdleToGap(from, to int) bool {
-	best := -1
-	for i, e := range p.engines {
-		if e.To > e.From || !e.Settled || p.m.maxLayers(e.MemoryMB) == 0 {
-			continue
+// fillGaps closes gaps while it finds engines for that. An engine in use loads only layers that
+// fewer than maxHolders engines of the fleet hold. A chain needs all layers, so that gaps are
+// closed even if that leaves little memory for requests, but with as much as possible.
+func (p *repair) fillGaps(maxHolders int) {
+	p.maxHolders = maxHolders
+	for tokens := p.m.chainTokens() / 2; ; tokens = max(minGapTokens, tokens/2) {
+		for p.fillGap(tokens) {
 		}
-		// Engines are in descending order of memory.
-		if best < 0 || p.m.maxLayers(e.MemoryMB) >= to-from {
-			best = i
+		if tokens == minGapTokens {
+			return
 		}
 	}
-	if best < 0 {
-		return false
+}
+
+func (p *repair) hasGap() bool { return slices.Contains(countHolders(p.m, p.engines), 0) }
+
+func (p *repair) clone() *repair {
+	q := *p
+	q.engines, q.holders, q.reasons = slices.Clone(p.engines), slices.Clone(p.holders), maps.Clone(p.reasons)
+	return &q
+}
+
+// move is a new range for an engine that closes gaps.
+type move struct {
+	engine   int // Index, or -1 for no move.
+	from, to int
+	idle     bool // The engine holds no layers.
+	closed   int  // Layers that no engine of the group held before.
+	dropped  int  // Layers that the engine gives up.
+	loaded   int  // Layers that it loads.
+}
+
+// betterThan reports whether a move is preferable to another one.
+func (v move) betterThan(w move) bool {
+	switch {
+	case w.engine < 0:
+		return true
+	case v.idle != w.idle:
+		return v.idle
+	case v.closed != w.closed:
+		return v.closed > w.closed
+	case v.dropped != w.dropped:
+		return v.dropped < w.dropped
 	}
-	width := min(to-from, p.m.maxLayers(p.engines[best].MemoryMB))
-	p.assign(best, from, from+width, "closeGap")
-	return true
+	return v.loaded < w.loaded
 }
 
-// grow extends an engine next to the gap by one layer. Because the engine's requests
-// stop while it loads, grow does so only if fewer than minHolders engines hold the
-// layer, or if growAlways is set.
-func (p *repair) grow(from, to int) bool {
-	if p.holders[from] >= minHolders && !p.growAlways {
+// fillGap assigns the best engine to a gap, if one can hold it beside memory for the given
+// number of tokens. It reports whether it found one.
+func (p *repair) fillGap(tokens float64) bool {
+	own := countHolders(p.m, p.engines)
+	if !slices.Contains(own, 0) {
 		return false
 	}
-	best, bestCapacity := -1, float64(minCapacityTokens)
+	best := move{engine: -1}
 	for i, e := range p.engines {
-		if !e.Settled || e.To == e.From || e.To != from && e.From != to {
+		if !p.mayOrder(i) {
 			continue
 		}
-		n := e.To - e.From + 1
-		if capacity := p.m.Capacity(e.MemoryMB, n); n <= p.m.maxLayers(e.MemoryMB) && capacity > bestCapacity {
-			best, bestCapacity = i, capacity
+		if v := p.bestMove(i, own, p.m.layersFor(e.MemoryMB, tokens)); v.engine >= 0 && v.betterThan(best) {
+			best = v
 		}
 	}
-	if best < 0 {
+	if best.engine < 0 {
 		return false
 	}
-	e := p.engines[best]
-	if e.To == from {
-		p.assign(best, e.From, e.To+1, "closeGap")
-	} else {
-		p.assign(best, e.From-1, e.To, "closeGap")
-	}
+	p.assign(best.engine, best.from, best.to, "closeGap")
 	return true
 }
 
-// moveRedundant moves an engine to the gap if other engines of the fleet hold all of its
-// layers too.
-func (p *repair) moveRedundant(from, to int) bool {
-	for i, e := range p.engines {
-		if !e.Settled || e.To == e.From || p.reasons[i] != "" || !heldBy(p.holders, e, 2) {
+// bestMove returns the best range of at most the given width for an engine. The range includes
+// all layers that the engine alone holds in its group.
+func (p *repair) bestMove(i int, own []int, width int) move {
+	e := p.engines[i]
+	least, end := e.soleLayers(own)
+	width = max(width, e.To-e.From)
+	best := move{engine: -1}
+	for from := 0; from+width <= p.m.Layers; from++ {
+		if least < end && (from > least || from+width < end) {
 			continue
 		}
-		width := min(to-from, p.m.maxLayers(e.MemoryMB))
-		if width == 0 {
+		v := p.trim(move{engine: i, from: from, to: from + width, idle: e.To == e.From}, e, own)
+		if v.dropped > 0 && e.Requests > maxMovedRequests && !p.unservable() {
 			continue
 		}
-		p.assign(i, from, from+width, "closeGap")
-		return true
+		if v.closed > 0 && v.betterThan(best) {
+			best = v
+		}
 	}
-	return false
+	return best
 }
 
-// heldBy reports whether at least n engines hold each layer of an engine, counting the
-// engine itself.
-func heldBy(holders []int, e Engine, n int) bool {
+// trim counts the changes of a move, after shortening its range by layers at the ends that
+// would be loaded without closing a gap. An idle engine takes its full width.
+func (p *repair) trim(v move, e Engine, own []int) move {
+	useful := func(l int) bool {
+		return v.idle || e.From <= l && l < e.To || own[l] == 0 && p.mayLoad(l)
+	}
+	for v.from < v.to && !useful(v.from) {
+		v.from++
+	}
+	for v.to > v.from && !useful(v.to-1) {
+		v.to--
+	}
+	for l := v.from; l < v.to; l++ {
+		if l < e.From || l >= e.To {
+			v.loaded++
+		}
+		if own[l] == 0 && (v.idle || p.mayLoad(l)) {
+			v.closed++
+		}
+	}
+	v.dropped = e.To - e.From - (v.to - v.from - v.loaded)
+	return v
+}
+
+// mayLoad reports whether an engine in use may load a layer that its group lacks.
+func (p *repair) mayLoad(layer int) bool { return p.holders[layer] < p.maxHolders }
+
+// soleLayers returns the range of the layers that only this engine of its group holds.
+func (e Engine) soleLayers(own []int) (from, to int) {
+	from, to = e.To, e.From
 	for l := e.From; l < e.To; l++ {
-		if holders[l] < n {
-			return false
+		if own[l] == 1 {
+			from, to = min(from, l), l+1
 		}
 	}
-	return true
+	return from, to
 }
 
 // assignIdle assigns idle engines: to the range that makes the group's fastest chain most
