Assume a part of the requests that other VMs have sent since their last reports

Change: a VM draws how many of the requests that its data centre has probably sent since the last news went before its own, and places those first, each group on the best path by then. Of the requests that were reported it assumes that those have ended which would by now, and it keeps memory free for twice the deviation of what it cannot know. Reports carry the rate of requests. What is only assumed is no reason to refuse. That spreads requests over data centres, whose links fill first, so a path leaves its data centre only if that has none with capacity, or a whole path elsewhere costs less. Live VMs are counted when they are needed: after a start of all VMs they were 0 for a quarter of a second.

--- a/internal/fleet/loadsum/loadsum.go
+++ b/internal/fleet/loadsum/loadsum.go
@@ -50,6 +50,7 @@
 	boot, sequence uint64
 	holds          []*fleetpb.Hold
 	slow           []*fleetpb.Slow
+	rate           float32
 }
 
 type sum struct {
@@ -70,7 +71,7 @@
 	}
 	c.add(previous.holds, -1)
 	c.add(o.Holds, 1)
-	c.reports[vm] = report{at: now, boot: o.Boot, sequence: o.Sequence, holds: o.Holds, slow: o.Slow}
+	c.reports[vm] = report{at: now, boot: o.Boot, sequence: o.Sequence, holds: o.Holds, slow: o.Slow, rate: o.Rate}
 }
 
 // add adds holds to the sum, or subtracts them if sign is -1.
@@ -108,6 +109,7 @@
 	out := &fleetpb.LoadSum{DataCentre: c.dataCentre, Vms: uint32(len(c.reports)), Holds: make([]*fleetpb.Hold, 0, len(c.own))}
 	for _, r := range c.reports {
 		out.Slow = append(out.Slow, r.slow...)
+		out.Rate += r.rate
 	}
 	for id, l := range c.own {
 		out.Holds = append(out.Holds, &fleetpb.Hold{Upstream: id, Requests: uint32(l.requests), Tokens: uint64(l.tokens)})
@@ -123,7 +125,7 @@
 			delete(c.others, dc)
 			continue
 		}
-		out = append(out, &fleetpb.LoadSum{DataCentre: dc, Vms: s.Vms, Holds: s.Holds, Slow: s.Slow, AgeMs: uint32(now.Sub(s.at))})
+		out = append(out, &fleetpb.LoadSum{DataCentre: dc, Vms: s.Vms, Holds: s.Holds, Slow: s.Slow, Rate: s.Rate, AgeMs: uint32(now.Sub(s.at))})
 	}
 	return out
 }
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -332,6 +332,16 @@
 	return p.gossip.Members()
 }
 
+// LiveVMs returns the number of live VMs.
+func (p *Plane) LiveVMs() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gossip == nil {
+		return 1
+	}
+	return len(p.gossip.Live())
+}
+
 // ReplicaStatus returns the status of the VM's replica, if it has one.
 func (p *Plane) ReplicaStatus() (replica.Status, bool) {
 	r := p.replica.Load()
--- a/internal/node/router/occupancy.go
+++ b/internal/node/router/occupancy.go
@@ -54,5 +54,5 @@
 	if err != nil {
 		return // The plane has logged it; the next report goes to another VM.
 	}
-	r.catalog.MergeLoads(r.cfg.Settings.DataCentre, o, sums)
+	r.catalog.MergeLoads(o, sums)
 }
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -99,14 +99,13 @@
 	servers    []*http.Server
 	started    uint64
 
-	draining  atomic.Bool
-	found     chan struct{} // Signalled when other VMs must be told of findings at once; capacity 1.
-	vmCount   atomic.Int64
-	liveCount atomic.Int64
-	mu        sync.Mutex
-	ready     bool // Readiness in the last reply to the load balancer.
-	tasks     sync.WaitGroup
-	cancel    context.CancelFunc
+	draining atomic.Bool
+	found    chan struct{} // Signalled when other VMs must be told of findings at once; capacity 1.
+	vmCount  atomic.Int64
+	mu       sync.Mutex
+	ready    bool // Readiness in the last reply to the load balancer.
+	tasks    sync.WaitGroup
+	cancel   context.CancelFunc
 }
 
 // New creates a Router. Start runs it.
@@ -124,7 +123,7 @@
 		r.tel.Metrics.Counter("invariant_violations_total").Inc(1)
 	})
 	src := rng.New(uint64(time.Now().UnixNano()))
-	r.catalog = catalog.New(s.VM, r.clock, cfg.MaxLease, r.upstreamsChanged)
+	r.catalog = catalog.New(s.VM, r.clock, cfg.MaxLease, r.upstreamsChanged, catalog.WithDataCentre(s.DataCentre))
 	r.plane, err = controlplane.New(controlplane.Config{
 		Settings: s, Clock: r.clock, Sink: r.violations, Log: r.log.Logger(), Directory: r.catalog, Source: src,
 		Parse: cfg.Parse, OnOccupancy: r.catalog.MergeOccupancy,
@@ -134,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.catalog.SetVMCount(func() int { return int(r.liveCount.Load()) })
+	r.catalog.SetVMCount(r.plane.LiveVMs)
 	r.upstreams = cfg.Upstreams(r.pool)
 	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.upstreams, Prober: r.pool, Log: r.log, Go: r.task})
 	r.handler = forward.New(forward.Config{
@@ -331,20 +330,15 @@
 // may still be serving requests.
 func (r *Router) vms() int { return max(1, int(r.vmCount.Load())) }
 
-// countVMs counts the VMs that have not left, and those of them that are live.
+// countVMs counts the VMs that have not left.
 func (r *Router) countVMs() {
-	all, live := int64(0), int64(0)
+	n := int64(0)
 	for _, m := range r.plane.Members() {
-		switch m.State {
-		case fleetpb.Member_ALIVE, fleetpb.Member_SUSPECT:
-			live++
-			all++
-		case fleetpb.Member_DEAD:
-			all++
+		if m.State != fleetpb.Member_LEFT {
+			n++
 		}
 	}
-	r.vmCount.Store(all)
-	r.liveCount.Store(live)
+	r.vmCount.Store(n)
 }
 
 func (r *Router) upstreamsChanged(c catalog.Change) {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -197,7 +197,7 @@
 		return &target{id: u.ID, address: u.Address, release: s.h.cfg.Catalog.ReserveUpstream(u.ID)}, nil
 	}
 	p, release, err := s.h.cfg.Catalog.ChoosePath(pool, chain.Request{
-		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: s.exclude, AllowedFirst: s.allowedFirst(),
+		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: s.exclude, AllowedFirst: s.allowedFirst(), Draw: s.h.random(),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -53,19 +53,36 @@
 	linkBusyUntil map[link]float64      // Time until which each link is busy, as a fractional clock.Time.
 	vmCount       func() int
 	watchers      map[string]map[watchEntry]struct{} // By upstream.
+	dataCentre    string
+	rate          rate
+	loadsAt       clock.Time // When the newest report of other VMs' load was received.
+	ahead         ahead
+	durations     map[string]float64 // Mean expected duration of this VM's requests on each engine, in ms.
+}
+
+// Option changes how a Catalog behaves.
+type Option func(*Catalog)
+
+// WithDataCentre sets the VM's data centre, whose VMs are assumed to choose paths alike.
+func WithDataCentre(name string) Option {
+	return func(c *Catalog) { c.dataCentre = name }
 }
 
 // New returns the catalog of a VM. An upstream is removed if it sends no announcement
 // for maxLease, or for its own lease if that is shorter. The catalog calls onChange
 // without holding locks.
-func New(vm string, clk clock.Clock, maxLease clock.Duration, onChange func(Change)) *Catalog {
-	return &Catalog{
+func New(vm string, clk clock.Clock, maxLease clock.Duration, onChange func(Change), opts ...Option) *Catalog {
+	c := &Catalog{
 		clock: clk, vm: vm, onChange: onChange,
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*otherUsage{},
 		views: map[string]*poolView{}, capacityFreed: make(chan struct{}),
-		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, vacated: map[string]clock.Time{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
+		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, vacated: map[string]clock.Time{}, durations: map[string]float64{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
+	}
+	for _, opt := range opts {
+		opt(c)
 	}
+	return c
 }
 
 // SetVMCount sets the function that returns the number of live VMs, which send requests to
@@ -140,6 +157,7 @@
 		change.Ended = append(change.Ended, previous.Id)
 		delete(c.health, previous.Id)
 		delete(c.paces, previous.Id)
+		delete(c.durations, previous.Id)
 		return
 	case !live:
 		return
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -40,7 +40,7 @@
 					other.TakeDigests(c.Digests)
 				}
 			}
-		}))
+		}, catalog.WithDataCentre("x")))
 	}
 	return f
 }
@@ -315,7 +315,7 @@
 	other.Reserve(chain.Path{Tokens: 10, Hops: []chain.Hop{{Engine: "e", From: 0, To: 8}}})
 	f.exchangeOccupancy()
 	report := c.Occupancy()
-	c.MergeLoads("x", report, []*fleetpb.LoadSum{
+	c.MergeLoads(report, []*fleetpb.LoadSum{
 		{DataCentre: "x", Vms: 2, Holds: []*fleetpb.Hold{{Upstream: "e", Requests: 3, Tokens: 240}}},
 		{DataCentre: "y", Vms: 1, Holds: []*fleetpb.Hold{{Upstream: "e", Requests: 1, Tokens: 80}}},
 	})
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -85,22 +85,31 @@
 	now := c.clock.Now()
 	m := chainModel(p.Engine)
 	m.LinkWaitMs = func(a, b string) float64 { return c.linkWait(linkBetween(a, b), now) }
-	path, err = chain.Choose(m, c.engines(p, r.Exclude, false), r)
+	if before := c.sentAhead(p, m, r, now); before != nil {
+		path, err = chain.Choose(m, c.engines(p, r.Exclude, false, before), r)
+	}
+	if len(path.Hops) == 0 {
+		// What other VMs sent is only assumed, and may be no reason to refuse a request.
+		path, err = chain.Choose(m, c.engines(p, r.Exclude, false, nil), r)
+	}
 	if errors.Is(err, chain.ErrMissingLayers) {
 		// A paused engine is better than a layer without any engine.
-		path, err = chain.Choose(m, c.engines(p, r.Exclude, true), r)
+		path, err = chain.Choose(m, c.engines(p, r.Exclude, true, nil), r)
 	}
 	if err != nil {
 		return path, nil, err
 	}
+	c.rate.add(now)
+	c.recordDuration(path, r.Answer)
 	c.addTransfers(path, r.Prompt, m.CrossMsPerToken)
 	return path, c.reserve(path), nil
 }
 
 // engines returns the pool's engines that a path may use. If paused is set, it includes
-// the paused engines, but never dead ones.
-func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool, paused bool) []chain.Engine {
+// the paused engines, but never dead ones. additional is load beyond what VMs reported.
+func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool, paused bool, additional map[string]usage) []chain.Engine {
 	now := c.clock.Now()
+	unknownTokens := c.unknownRequests(now) * float64(p.Engine.DefaultPromptTokens+p.Engine.DefaultAnswerTokens)
 	all := c.view(p)
 	out := make([]chain.Engine, 0, len(all))
 	for _, u := range all {
@@ -111,12 +120,12 @@
 		if !ok {
 			continue
 		}
-		used := c.usageOf(u.Id, now)
+		used := c.usageAfter(u.Id, now, c.remaining(u.Id, now)).plus(additional[u.Id])
 		from, to, pace := int(u.LayerFrom), int(u.LayerTo), c.paceOf(u.Id, now)
 		e := chain.Engine{
 			ID: u.Id, Address: u.Address, DataCentre: u.DataCentre, From: from, To: to,
 			StepFactor: pace * k.StepFactor, ReadFactor: pace * k.ReadFactor, Slowdown: 1 + c.slowdownOf(u.Id, now),
-			Capacity: capacityOf(p.Engine, k, to-from), Used: float64(used.tokens), Requests: used.requests,
+			Capacity: capacityOf(p.Engine, k, to-from), Used: float64(used.tokens), Margin: unknownTokens * float64(to-from), Requests: used.requests,
 		}
 		if from == 0 {
 			e.FirstHopRequests = used.requests
--- a/internal/routing/catalog/occupancy.go
+++ b/internal/routing/catalog/occupancy.go
@@ -9,6 +9,8 @@
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
+const msPerSecond = 1000
+
 // occupancyLifetime is how long another VM's occupancy report remains valid.
 const occupancyLifetime = 3 * clock.Second
 
@@ -25,6 +27,8 @@
 	boot, sequence uint64
 	at             clock.Time // When the report was made.
 	byUpstream     map[string]usage
+	dataCentre     string
+	perMs          float64 // Rate of requests to engines.
 }
 
 // Reserve counts a request on the engines of its path until the returned function is
@@ -89,6 +93,7 @@
 	o.Unreachable = c.deadToReport(now)
 	o.Placed = c.placementsToReport(now)
 	o.Slow = c.pacesToReport(now)
+	o.Rate, o.DataCentre = float32(c.rate.now(now)*msPerSecond), c.dataCentre
 	o.Vacate = c.vacatedToReport(now)
 	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return o
@@ -114,7 +119,12 @@
 	if previous != nil && (o.Boot < previous.boot || o.Boot == previous.boot && o.Sequence <= previous.sequence) {
 		return
 	}
-	c.otherUsage[vm] = &otherUsage{vms: 1, boot: o.Boot, sequence: o.Sequence, at: c.clock.Now(), byUpstream: usageByUpstream(o.Holds)}
+	now := c.clock.Now()
+	c.otherUsage[vm] = &otherUsage{
+		vms: 1, boot: o.Boot, sequence: o.Sequence, at: now, byUpstream: usageByUpstream(o.Holds),
+		dataCentre: o.DataCentre, perMs: float64(o.Rate) / msPerSecond,
+	}
+	c.loadsAt, c.ahead = now, ahead{}
 }
 
 // Findings returns the part of this VM's report that other VMs need at once: the dead upstreams
@@ -132,7 +142,7 @@
 
 // MergeLoads replaces the load of other VMs by the sums over data centres. The sum of this VM's
 // own data centre includes its report.
-func (c *Catalog) MergeLoads(dataCentre string, report *fleetpb.Occupancy, sums []*fleetpb.LoadSum) {
+func (c *Catalog) MergeLoads(report *fleetpb.Occupancy, sums []*fleetpb.LoadSum) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
@@ -143,9 +153,10 @@
 	}
 	for _, s := range sums {
 		c.mergePaces(s.Slow, s.AgeMs)
-		next := &otherUsage{vms: int(s.Vms), at: now.Add(-clock.Duration(s.AgeMs)), byUpstream: usageByUpstream(s.Holds)}
-		if s.DataCentre == dataCentre {
+		next := &otherUsage{vms: int(s.Vms), at: now.Add(-clock.Duration(s.AgeMs)), byUpstream: usageByUpstream(s.Holds), dataCentre: s.DataCentre, perMs: float64(s.Rate) / msPerSecond}
+		if s.DataCentre == c.dataCentre {
 			next.vms--
+			next.perMs = max(0, next.perMs-float64(report.Rate)/msPerSecond)
 			for _, h := range report.Holds {
 				u := next.byUpstream[h.Upstream]
 				next.byUpstream[h.Upstream] = usage{requests: max(0, u.requests-int(h.Requests)), tokens: max(0, u.tokens-int(h.Tokens))}
@@ -153,6 +164,7 @@
 		}
 		c.otherUsage[s.DataCentre] = next
 	}
+	c.loadsAt, c.ahead = now, ahead{}
 }
 
 func usageByUpstream(holds []*fleetpb.Hold) map[string]usage {
@@ -163,12 +175,17 @@
 	return out
 }
 
-// usageOf returns the load of all VMs' requests on an upstream. It scales the sum up for
-// VMs without a valid report.
+// usageOf returns the load of all VMs' requests on an upstream, with an estimate for VMs without
+// a valid report.
 func (c *Catalog) usageOf(id string, now clock.Time) usage {
-	var sum usage
+	return c.usageAfter(id, now, 1)
+}
+
+// usageAfter is usageOf if only a share of the requests that other VMs reported remains.
+func (c *Catalog) usageAfter(id string, now clock.Time, remaining float64) usage {
+	var own, others usage
 	if h := c.ownUsage[id]; h != nil {
-		sum = *h
+		own = *h
 	}
 	reporting := 1
 	for source, v := range c.otherUsage {
@@ -176,15 +193,19 @@
 			delete(c.otherUsage, source)
 			continue
 		}
-		h := v.byUpstream[id]
-		sum.requests += h.requests
-		sum.tokens += h.tokens
+		others = others.plus(v.byUpstream[id])
 		reporting += v.vms
 	}
+	others = others.times(remaining)
 	// VMs without a valid report are assumed to send as much as the others on average.
-	if all := c.vmCount(); all > reporting {
-		sum.requests = sum.requests * all / reporting
-		sum.tokens = sum.tokens * all / reporting
-	}
-	return sum
+	missing := max(0, c.vmCount()-reporting)
+	return own.plus(others).plus(own.plus(others).times(float64(missing) / float64(reporting)))
+}
+
+func (u usage) plus(v usage) usage {
+	return usage{requests: u.requests + v.requests, tokens: u.tokens + v.tokens}
+}
+
+func (u usage) times(factor float64) usage {
+	return usage{requests: int(factor*float64(u.requests) + 0.5), tokens: int(factor*float64(u.tokens) + 0.5)}
 }
--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -57,6 +57,7 @@
 	ReadFactor       float64 // Relative duration of prefill; higher is slower.
 	Capacity         float64 // Memory for requests, in tokens times layers.
 	Used             float64 // Part of that memory in use by requests.
+	Margin           float64 // Part of it that requests not known yet may use.
 	Requests         int     // Requests whose path includes the engine.
 	FirstHopRequests int     // Requests whose path starts at the engine.
 	// Slowdown multiplies the cost of the engine when paths are compared. It is above 1
@@ -89,6 +90,8 @@
 	DataCentre string // Data centre of the VM that sends the request.
 	// Exclude is the set of engines that the path must not use.
 	Exclude map[string]bool
+	// Draw is a random number in [0, 1), by which VMs that know the same load choose differently.
+	Draw float64
 	// AllowedFirst is the set of engines that the path may begin with; nil allows any.
 	AllowedFirst map[string]bool
 }
@@ -134,15 +137,21 @@
 	hops               int
 }
 
-// Choose returns the path with the lowest cost. It returns ErrMissingLayers if the usable
+// Choose returns the path with the lowest cost. A path that leaves the request's data centre is
+// chosen only if none within it has capacity, or a whole path in another one costs less: all
+// requests share the links between data centres, which a part of the requests fills. Choose
+// returns ErrMissingLayers if the usable
 // engines do not cover all layers, and ErrFull if every path that covers them lacks
 // capacity.
 func Choose(m Model, engines []Engine, r Request) (Path, error) {
 	s := newSearch(m, engines, r)
-	if p, ok := s.best(true); ok {
+	if p, ok := s.best(true, false); ok && p.Hops[0].DataCentre == r.DataCentre {
 		return p, nil
 	}
-	if _, ok := s.best(false); ok {
+	if p, ok := s.best(true, true); ok {
+		return p, nil
+	}
+	if _, ok := s.best(false, true); ok {
 		return Path{}, ErrFull
 	}
 	return Path{}, ErrMissingLayers
@@ -176,8 +185,9 @@
 }
 
 // best finds the cheapest path by dynamic programming over layer boundaries and data
-// centres. If bounded is set, it skips engines without enough capacity.
-func (s *search) best(bounded bool) (Path, bool) {
+// centres. If bounded is set, it skips engines without enough capacity. If crossing is not set,
+// paths stay within one data centre.
+func (s *search) best(bounded, crossing bool) (Path, bool) {
 	n := len(s.centres)
 	table := make([]partialPath, (s.m.Layers+1)*n)
 	known := make([]bool, len(table))
@@ -187,7 +197,7 @@
 			if !known[at*n+c] {
 				continue
 			}
-			s.extend(table, known, at, c, bounded)
+			s.extend(table, known, at, c, bounded, crossing)
 		}
 	}
 	end := -1
@@ -205,7 +215,7 @@
 
 // extend extends the partial path at a boundary by every engine that holds the next
 // layer.
-func (s *search) extend(table []partialPath, known []bool, at, c int, bounded bool) {
+func (s *search) extend(table []partialPath, known []bool, at, c int, bounded, crossing bool) {
 	n := len(s.centres)
 	here := table[at*n+c]
 	for _, i := range s.byFrom {
@@ -216,6 +226,9 @@
 		if e.To <= at || at == 0 && s.r.AllowedFirst != nil && !s.r.AllowedFirst[e.ID] || bounded && !s.fits(e, at, e.To, at == 0) {
 			continue
 		}
+		if at > 0 && s.centre[i] != c && !crossing {
+			continue
+		}
 		first, token := s.estimateMs(e, at, e.To)
 		if at > 0 {
 			first += s.m.HopMs
@@ -257,7 +270,7 @@
 		return false
 	}
 	need := float64((s.r.Prompt + s.r.Answer) * (to - from))
-	return e.Used+need <= maxMemoryUse*e.Capacity
+	return e.Used+e.Margin+need <= maxMemoryUse*e.Capacity
 }
 
 // estimateMs estimates the milliseconds that an engine adds to the first token and to each
--- a/internal/routing/chain/chain_test.go
+++ b/internal/routing/chain/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -94,3 +95,26 @@
 		_, _ = chain.Choose(model, engines, typicalRequest)
 	}
 }
+
+// TestChooseStaysInDataCentre checks that load alone does not move requests to paths over
+// several data centres, whose links all requests share, and that a missing layer does.
+func TestChooseStaysInDataCentre(t *testing.T) {
+	m := chain.Model{Layers: 8, StepMs: 1, ReadTokensPerMs: 100, CrossMsPerToken: 0.01, HopMs: 0.1}
+	engine := func(id, dc string, from, to int, used float64) chain.Engine {
+		return chain.Engine{ID: id, DataCentre: dc, From: from, To: to, StepFactor: 1, ReadFactor: 1, Capacity: 100_000, Used: used}
+	}
+	engines := []chain.Engine{engine("x0", "x", 0, 4, 85_000), engine("x1", "x", 4, 8, 85_000), engine("y0", "y", 0, 4, 0), engine("y1", "y", 4, 8, 0)}
+	r := chain.Request{Prompt: 100, Answer: 500, DataCentre: "x"}
+	centres := func(engines []chain.Engine) string {
+		p, err := chain.Choose(m, engines, r)
+		assert.NilError(t, err)
+		out := ""
+		for _, h := range p.Hops {
+			out += h.DataCentre
+		}
+		return out
+	}
+	assert.Assert(t, centres(engines) != "xy" && centres(engines) != "yx")
+	r.Answer = 10 // Too short for a path that begins elsewhere to pay.
+	assert.Equal(t, centres(slices.Delete(engines, 1, 2)), "xy", "the engine of the own data centre was not used")
+}
