Bound what is read from upstreams in trouble, and keep slow streams that have no other path

Causes, each shown by a test that failed before: - A header without end was read until the deadline, in memory; bodies without end up to 16 MB each, 480 MB for thirty calls at a time (TestEndlessHeader, TestEndlessBodies). - Comments, and events without an id, counted as progress, so that a stream on which an upstream sends a byte now and then ended only at its deadline (TestStreamWithoutEvents). - A stream was cut after a pause of 1.7 s, whatever its callers wait for and also when no other path could continue it (TestSlowStreamKept). - A late second answer that is a failure without an id was taken for the answer to the next request on the connection (TestFailureWithoutIDOnReusedConnection).

--- a/internal/control/tables/forward.go
+++ b/internal/control/tables/forward.go
@@ -17,6 +17,9 @@
 	// Resumable allows a stream to continue at another upstream after the last event
 	// that the caller received.
 	Resumable bool `yaml:"resumable,omitempty" json:"resumable,omitempty"`
+	// CallerTimeout is how long callers wait for the first or next event before they leave;
+	// 0 means two seconds.
+	CallerTimeout clock.Duration `yaml:"callerTimeout,omitempty" json:"callerTimeout,omitempty"`
 	// MaxGap is the longest time between two events for a response to be on time.
 	MaxGap clock.Duration `yaml:"maxGap,omitempty" json:"maxGap,omitempty"`
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -60,6 +60,7 @@
 	started  clock.Time
 	inFlight atomic.Int64
 	metrics  *metrics
+	buffers  buffers
 
 	mu           sync.Mutex // Guards the fields below.
 	src          *rng.Source
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,8 +22,6 @@
 	attemptTimeoutFactor = 2
 	// minAttemptTimeout is the minimum of that time.
 	minAttemptTimeout = 60 * time.Millisecond
-	// maxResponseBytes bounds the size of a response, which is buffered until it is complete.
-	maxResponseBytes = 16 << 20
 	// maxRejections is the maximum number of retries after upstreams rejected a request without
 	// running it.
 	maxRejections = 4
@@ -45,11 +42,19 @@
 
 // result is the result of one attempt.
 type result struct {
-	status int
-	header http.Header
-	body   []byte
-	notRun bool // The upstream did not run the request.
-	err    error
+	status  int
+	header  http.Header
+	body    []byte
+	notRun  bool // The upstream did not run the request.
+	err     error
+	release func() // Releases the body; may be nil.
+}
+
+// free releases the body of a result that is not passed on, or was.
+func (r result) free() {
+	if r.release != nil {
+		r.release()
+	}
 }
 
 // run sends the call until it has a response to pass on or no attempt is left.
@@ -58,6 +63,7 @@
 	repeatable := route.Repeatable(p.x.R.Method)
 	maxAttempts := max(1, route.Attempts)
 	var last result
+	defer func() { last.free() }()
 	for attempt := 0; ; attempt++ {
 		u, err := p.h.cfg.Catalog.Pick(pool, p.h.cfg.DataCentre, p.exclude)
 		if err != nil {
@@ -67,6 +73,7 @@
 			return p.fail(last, errRetryLimit)
 		}
 		mayRetry := repeatable && p.runs+1 < maxAttempts
+		last.free()
 		last = p.send(ctx, u, route, mayRetry)
 		p.exclude[u.ID] = true
 		p.delivered = p.delivered || !errors.Is(last.err, call.ErrNotSent)
@@ -104,11 +111,8 @@
 		return result{notRun: errors.Is(err, call.ErrNotSent), err: err}
 	}
 	defer a.Close()
-	body, err := io.ReadAll(io.LimitReader(a, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
-	}
-	out := result{status: a.Status, header: a.Header, body: body, notRun: d.notRun(a.Status, a.Header), err: err}
+	body, free, err := p.h.buffers.readAll(a)
+	out := result{status: a.Status, header: a.Header, body: body, notRun: d.notRun(a.Status, a.Header), err: err, release: free}
 	if err == nil && out.status < http.StatusMultipleChoices && a.Header.Get(d.Integrity) == "" {
 		out.err = errNoIntegrity
 	}
--- a/internal/request/forward/stall.go
+++ b/internal/request/forward/stall.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
+
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
 )
 
 // stallDetector watches the progress of one run. When a pause exceeds the estimate for the path,
 // the first engine is asked which engine it waits for. If no engine is found at fault, the
-// run is canceled after stallTimeout.
+// run is canceled before the caller would leave, if there is another path to try. Otherwise a
+// slow run may still complete.
 type stallDetector struct {
 	s      *stream
 	t      *target
@@ -19,6 +23,8 @@
 	mu           sync.Mutex
 	lastProgress time.Time // Time of the last progress.
 	timeout      time.Duration
+	longest      time.Duration // Pause after which the run is canceled.
+	other        chain.Request // Request for the path of another run.
 	stopped      bool
 	events       int64 // Events since the last observation.
 	windowStart  time.Time
@@ -29,6 +35,9 @@
 
 func (s *stream) newStallDetector(ctx context.Context, t *target, cancel context.CancelCauseFunc) *stallDetector {
 	w := &stallDetector{s: s, t: t, ctx: ctx, cancel: cancel, lastProgress: time.Now()}
+	w.longest = s.longestPause()
+	w.other = s.pathRequest()
+	w.other.Exclude = maps.Clone(s.exclude)
 	w.timeout = firstEventFactor*fromMillis(t.currentPath().FirstMs) + stallSlack
 	w.mu.Lock() // The timer may fire before w.timer is set.
 	defer w.mu.Unlock()
@@ -79,10 +88,12 @@
 	switch {
 	case stopped || w.ctx.Err() != nil:
 		return
-	case paused >= stallTimeout:
+	case paused >= w.longest && w.hasOtherTarget():
 		w.reportSlow(paused)
 		w.cancel(errStalled)
 		return
+	case paused >= w.longest:
+		timeout = paused + stallSlack
 	case paused >= timeout && w.s.h.cfg.OnStall != nil && len(w.t.currentPath().Hops) > 0:
 		w.s.h.cfg.OnStall(w.ctx, w.t.id, w.t.address)
 		timeout = paused + stallSlack
@@ -90,8 +101,45 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
-		w.timer.Reset(max(time.Millisecond, min(timeout, stallTimeout)-time.Since(w.lastProgress)))
+		next := timeout
+		if paused < w.longest {
+			next = min(timeout, w.longest)
+		}
+		w.timer.Reset(max(time.Millisecond, next-time.Since(w.lastProgress)))
+	}
+}
+
+// longestPause returns how long a run may pause before another one is tried.
+func (s *stream) longestPause() time.Duration {
+	timeout := s.x.Forward.Route.Events.CallerTimeout
+	if timeout == 0 {
+		timeout = defaultCallerTimeout
+	}
+	return time.Duration(stallFraction * float64(timeout.Std()))
+}
+
+// hasOtherTarget reports whether another run of the request could start at present without the
+// engines of this one.
+func (w *stallDetector) hasOtherTarget() bool {
+	pool, c := w.s.x.Forward.Pool, w.s.h.cfg.Catalog
+	if !w.s.x.Forward.Route.Events.Resumable {
+		return false
+	}
+	r := w.other
+	r.Exclude = maps.Clone(r.Exclude)
+	for _, id := range w.t.engineIDs() {
+		r.Exclude[id] = true
+	}
+	if pool.Engine == nil {
+		_, err := c.Pick(pool, r.DataCentre, r.Exclude)
+		return err == nil
+	}
+	_, release, err := c.ChoosePath(pool, r)
+	if err != nil {
+		return false
 	}
+	release()
+	return true
 }
 
 // reportSlow reports a canceled run as a slow observation of its engines. An engine that blocks
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,9 +33,10 @@
 	firstEventFactor = 4
 	gapFactor        = 5
 	stallSlack       = 250 * time.Millisecond
-	// stallTimeout is how long a run may pause before another one is tried although no engine
-	// was found at fault. Callers disconnect after a pause of two seconds.
-	stallTimeout = 1700 * time.Millisecond
+	// A run may pause for stallFraction of the time that callers wait for an event. After that
+	// another one is tried although no engine was found at fault.
+	stallFraction        = 0.85
+	defaultCallerTimeout = 2 * clock.Second
 	// wrongLayersDelay is how long an engine gets no requests after it was found to hold other
 	// layers than announced: long enough for its next announcement. noCapacityDelay applies
 	// to an engine that had no capacity or depended on an engine that had none.
@@ -196,15 +198,21 @@
 		}
 		return &target{id: u.ID, address: u.Address, release: s.h.cfg.Catalog.ReserveUpstream(u.ID)}, nil
 	}
-	p, release, err := s.h.cfg.Catalog.ChoosePath(pool, chain.Request{
-		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: s.exclude, AllowedFirst: s.allowedFirst(), Draw: s.h.random(),
-	})
+	p, release, err := s.h.cfg.Catalog.ChoosePath(pool, s.pathRequest())
 	if err != nil {
 		return nil, err
 	}
 	return &target{id: p.Hops[0].Engine, address: p.Hops[0].Address, path: p, release: release}, nil
 }
 
+// pathRequest returns the request for the path of another run.
+func (s *stream) pathRequest() chain.Request {
+	return chain.Request{
+		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: s.exclude, AllowedFirst: maps.Clone(s.allowedFirst()),
+		Draw: s.h.random(),
+	}
+}
+
 // runOnce sends the request to a target and relays its events.
 func (s *stream) runOnce(ctx context.Context, t *target) runResult {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -252,8 +260,9 @@
 	if s.headWritten || retryable {
 		return end
 	}
-	body, err := io.ReadAll(io.LimitReader(a, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes || a.Header.Get(d.Integrity) == "" {
+	body, free, err := s.h.buffers.readAll(a)
+	defer free()
+	if err != nil || a.Header.Get(d.Integrity) == "" {
 		end.cause = errors.Join(errNotEventStream, causeOf(ctx, err))
 		return end
 	}
@@ -272,12 +281,10 @@
 			var order error
 			out, order = splitter.Feed(out[:0], buf[:n])
 			if len(out) > 0 {
-				stall.progress(splitter.LastID - s.lastEvent)
-				now := time.Now()
-				if s.headWritten {
-					s.x.Account.Pause = max(s.x.Account.Pause, clock.FromStd(now.Sub(s.lastWrite)))
+				// Comments and events without an ID are passed on, but are no progress.
+				if splitter.LastID > s.lastEvent {
+					s.recordProgress(stall, splitter.LastID-s.lastEvent)
 				}
-				s.lastWrite = now
 				if werr := s.emit(a, out); werr != nil {
 					return runResult{final: true, cause: werr}
 				}
@@ -303,6 +310,16 @@
 	}
 }
 
+// recordProgress records that events arrived, and the pause before them.
+func (s *stream) recordProgress(stall *stallDetector, events int64) {
+	stall.progress(events)
+	now := time.Now()
+	if s.headWritten {
+		s.x.Account.Pause = max(s.x.Account.Pause, clock.FromStd(now.Sub(s.lastWrite)))
+	}
+	s.lastWrite = now
+}
+
 // emit writes events to the caller, preceded by the header of the first run's response.
 func (s *stream) emit(a *call.Response, events []byte) error {
 	s.writeHead(a)
--- /dev/null
+++ b/internal/request/forward/trouble_test.go
@@ -0,0 +1,130 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// writeForever writes a text again and again until the connection is closed, and counts the
+// bytes.
+func writeForever(c net.Conn, text string, written *atomic.Int64) {
+	block := []byte(strings.Repeat(text, max(1, 4096/len(text))))
+	for {
+		n, err := c.Write(block)
+		written.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// TestEndlessHeader answers with a header that never ends. The connection must be closed after a
+// bounded number of bytes, and the request goes elsewhere if it may be repeated. The caller of
+// one that may not is told at once that its outcome is unknown.
+func TestEndlessHeader(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n%sX-Long: ", "HTTP/1.1 200 OK\r\n%sX-A: b\r\n", "x"} {
+		f := newFixture(t)
+		var written atomic.Int64
+		f.start(t, "u1", "desk", 0, 0, func(_ *upstream, c net.Conn, r *http.Request) {
+			id := "Jasminecove-Request-Id: " + r.Header.Get("Jasminecove-Request-Id") + "\r\n"
+			start, rest, _ := strings.Cut(head, "%s")
+			_, _ = io.WriteString(c, start+id)
+			writeForever(c, rest+"x", &written)
+		})
+		began := time.Now()
+		resp, body, err := f.do(t, "POST", "/book/1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway, body)
+		assert.Assert(t, strings.Contains(body, "unknown"), body)
+		assert.Assert(t, time.Since(began) < 700*time.Millisecond, "the caller waited for the deadline")
+		assert.Assert(t, written.Load() < 32<<20, "%d bytes were read", written.Load())
+
+		u2 := f.start(t, "u2", "desk", 0, 0, serveOK)
+		for range 4 {
+			resp, body, err = f.do(t, "GET", "/look/1", "")
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+		}
+		assert.Assert(t, u2.runs() >= 4)
+	}
+}
+
+// TestEndlessBodies answers many calls at once with bodies that never end. Their memory must
+// stay bounded for all of them together.
+func TestEndlessBodies(t *testing.T) {
+	f := newFixture(t)
+	var written atomic.Int64
+	f.start(t, "u1", "desk", 0, 0, func(_ *upstream, c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: %s\r\n%s\r\n", r.Header.Get("Jasminecove-Request-Id"), integrity)
+		writeForever(c, "x", &written)
+	})
+	const callers = 30
+	var done sync.WaitGroup
+	for range callers {
+		done.Go(func() {
+			resp, body, err := f.do(t, "POST", "/book/1", "")
+			assert.Check(t, err)
+			assert.Check(t, resp.StatusCode == http.StatusBadGateway, body)
+		})
+	}
+	done.Wait()
+	// Socket buffers hold some MB for each connection that are written and never read.
+	assert.Assert(t, written.Load() < 64<<20+callers*(8<<20), "%d MB were read", written.Load()>>20)
+}
+
+// TestStreamWithoutEvents answers a stream with bytes that are no events: comments now and then,
+// or without end, or a line that never ends. The stream must go on with another engine.
+func TestStreamWithoutEvents(t *testing.T) {
+	for _, junk := range []string{": still here\n\n", "x"} {
+		for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
+			f := newFixture(t)
+			f.start(t, "e1", "crew", 0, 8, func(_ *upstream, c net.Conn, r *http.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Jasminecove-Request-Id"), integrity)
+				for {
+					if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(junk), junk); err != nil {
+						return
+					}
+					time.Sleep(pause)
+				}
+			})
+			f.start(t, "e2", "crew", 0, 8, events(5, 0))
+			for range 2 {
+				began := time.Now()
+				resp, body, err := f.do(t, "POST", "/draft/1", "prompt", "Jasminecove-Tokens", "10,5")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 200)
+				assert.Assert(t, strings.HasSuffix(body, wantEvents(1, 5)), "%d bytes", len(body))
+				assert.Assert(t, time.Since(began) < 3*time.Second, "junk %q each %s", junk, pause)
+			}
+		}
+	}
+}
+
+// TestSlowStreamKept checks that a slow stream is not cut while no other path could continue it,
+// and that it is run once.
+func TestSlowStreamKept(t *testing.T) {
+	f := newFixture(t)
+	e := f.start(t, "e1", "crew", 0, 8, func(_ *upstream, c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Jasminecove-Request-Id"), integrity)
+		for i := 1; i <= 2; i++ {
+			time.Sleep(2100 * time.Millisecond)
+			event := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	resp, body, err := f.do(t, "POST", "/draft/1", "prompt", "Jasminecove-Tokens", "10,2")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, body, wantEvents(1, 2))
+	assert.Equal(t, e.runs(), 1)
+}
--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -25,6 +25,8 @@
 	ErrNoResponse = fault.Sentinel("call: no response received")
 	// ErrMismatch reports responses that belong to other requests.
 	ErrMismatch = fault.Sentinel("call: response belongs to another request")
+	// ErrHeadTooLarge reports a response whose header is longer than maxHeadBytes.
+	ErrHeadTooLarge = fault.Sentinel("call: response header too large")
 )
 
 // Limits of a call.
@@ -36,6 +38,9 @@
 	// maxResponses bounds the responses read for one request, including interim responses
 	// and responses to earlier requests, which are skipped.
 	maxResponses = 4
+	// maxHeadBytes bounds what is read up to the end of a response's header, with the skipped
+	// responses before it: an upstream in trouble may send bytes without end.
+	maxHeadBytes = 1 << 20
 )
 
 // Request is a request to send. Head contains the request line, the headers and the empty
@@ -77,6 +82,27 @@
 	address string
 	reader  *bufio.Reader
 	expires time.Time // Until when it may be reused.
+	reused  bool      // It has carried another request.
+	left    int       // Bytes that may still be read before the end of a header; negative for no limit.
+}
+
+func newConn(nc net.Conn, address string) *conn {
+	c := &conn{Conn: nc, address: address, left: -1}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(buf []byte) (int, error) {
+	if c.left < 0 {
+		return c.Conn.Read(buf)
+	}
+	if c.left == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := c.Conn.Read(buf[:min(len(buf), c.left)])
+	c.left -= n
+	return n, err
 }
 
 // Do sends a request to an address and returns its response once the headers are read. The
@@ -131,8 +157,11 @@
 	}, nil
 }
 
-// readHead reads responses until the one to this request.
+// readHead reads responses until the one to this request. A failure without an id is taken for
+// it only on a connection that carried no request before, whose failure it could be.
 func readHead(c *conn, r Request) (*http.Response, error) {
+	c.left = maxHeadBytes
+	defer func() { c.left = -1 }()
 	for range maxResponses {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -142,7 +171,7 @@
 			continue
 		}
 		id := resp.Header.Get(r.IDHeader)
-		if id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest {
+		if id == r.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !c.reused {
 			return resp, nil
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/internal/upstream/call/call_test.go
+++ b/internal/upstream/call/call_test.go
@@ -182,3 +182,25 @@
 	resp.Close()
 	assert.Equal(t, len(connections), 2)
 }
+
+// TestFailureWithoutIDOnReusedConnection sends a second answer to one request, a failure without
+// an id, once the connection carries the next request. It must not be taken for the answer to
+// that.
+func TestFailureWithoutIDOnReusedConnection(t *testing.T) {
+	address := upstream(t, func(c net.Conn) {
+		readHead(c)
+		_, _ = io.WriteString(c, response("1", "one"))
+		readHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"+response("2", "two"))
+		time.Sleep(time.Second)
+	})
+	pool := call.NewPool()
+	for _, id := range []string{"1", "2"} {
+		resp, err := pool.Do(t.Context(), address, request(id))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status, 200)
+		_, err = io.ReadAll(resp)
+		assert.NilError(t, err)
+		resp.Close()
+	}
+}
--- a/internal/upstream/call/pool.go
+++ b/internal/upstream/call/pool.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -62,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return newConn(nc, address), nil
 }
 
 // Probe opens a connection to an address and adds it to the idle connections.
@@ -71,7 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("connect to %s: %w", address, err)
 	}
-	p.put(&conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil)
+	p.put(newConn(nc, address), nil)
 	return nil
 }
 
@@ -91,6 +90,7 @@
 // put adds a connection that can carry another request to the idle connections. header is
 // that of the last response, if any.
 func (p *Pool) put(c *conn, header http.Header) {
+	c.reused = c.reused || header != nil
 	c.expires = time.Now().Add(idleTimeout(header))
 	p.mu.Lock()
 	defer p.mu.Unlock()
