Tell refused callers to return when a shortage has probably ended

Each request in a gap also waited 0.7 of its objective for a path that was not to come.

Change: each VM follows the shortages of a pool, gaps and full paths apart: when one began, how long earlier ones lasted. Callers are told what probably remains, spread by half of that, within a third of their deadline, for which they wait. Requests are refused at once while a known gap will last longer than they would wait; running streams still wait.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/request/retryshare"
+	"github.com/jasminecove/jasminecove/internal/request/shortage"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
@@ -67,13 +68,20 @@
 	retryShares  map[string]*retryshare.Share // By pool.
 	loanRounds   map[string]*loanRound        // Loan rounds in progress, by pool.
 	noLoansUntil map[string]clock.Time        // Time until which no loans are requested, by pool.
+	shortages    map[shortageKey]*shortage.Tracker
+}
+
+// shortageKey identifies a kind of shortage of a pool.
+type shortageKey struct {
+	pool string
+	full bool // All paths are full. Otherwise layers are missing.
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
 	h := &Handler{
 		cfg: cfg, started: cfg.Clock.Now(), metrics: newMetrics(cfg.Metrics), src: cfg.Source,
-		retryShares: map[string]*retryshare.Share{}, loanRounds: map[string]*loanRound{}, noLoansUntil: map[string]clock.Time{},
+		retryShares: map[string]*retryshare.Share{}, loanRounds: map[string]*loanRound{}, noLoansUntil: map[string]clock.Time{}, shortages: map[shortageKey]*shortage.Tracker{},
 	}
 	direct := func(ctx context.Context, _ string, x *exchange.Exchange, next exchange.Handler) error {
 		return next(ctx, x)
--- a/internal/request/forward/trouble_test.go
+++ b/internal/request/forward/trouble_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -128,3 +129,31 @@
 	assert.Equal(t, body, wantEvents(1, 2))
 	assert.Equal(t, e.runs(), 1)
 }
+
+// TestKnownGapRefusedAtOnce checks that a request waits a while for a path when layers are
+// missing, that later ones are refused at once while the gap lasts, with a time to return, and
+// that the first path after it is used.
+func TestKnownGapRefusedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.start(t, "e1", "crew", 0, 4, events(5, 0))
+	ask := func() (status int, took time.Duration, retryAfter string) {
+		began := time.Now()
+		resp, _, err := f.do(t, "POST", "/draft/1", "prompt", "Jasminecove-Tokens", "10,5")
+		assert.NilError(t, err)
+		return resp.StatusCode, time.Since(began), resp.Header.Get("Retry-After")
+	}
+	status, took, _ := ask()
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, took > 300*time.Millisecond && took < 500*time.Millisecond, "%s", took)
+	for range 5 {
+		status, took, retryAfter := ask()
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, took < 100*time.Millisecond, "%s", took)
+		seconds, err := strconv.ParseFloat(retryAfter, 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds >= 1 && seconds <= 5.0/3, "%s s", retryAfter) // A third of the deadline.
+	}
+	f.start(t, "e2", "crew", 4, 8, events(5, 0))
+	status, _, _ = ask()
+	assert.Equal(t, status, http.StatusOK)
+}
