Spread the first requests after a start of all VMs, and use leaving engines for missing layers

Change: a VM takes those of its data centre from which it has heard nothing to send as much as itself, and its draw places its own request among those (TestHerdAfterStart). For a second after it announced to leave, an engine gets requests for layers that no other one holds; it accepts them for two to three seconds. A new engine waits 1.3 s (2.5 s) for a gap before it doubles layers.

--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -342,6 +342,22 @@
 	return len(p.gossip.Live())
 }
 
+// Peers returns the number of other live VMs of this VM's data centre.
+func (p *Plane) Peers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gossip == nil {
+		return 0
+	}
+	n := 0
+	for _, m := range p.gossip.Live() {
+		if m.DataCentre == p.cfg.Settings.DataCentre && m.Vm != p.cfg.Settings.VM {
+			n++
+		}
+	}
+	return n
+}
+
 // ReplicaStatus returns the status of the VM's replica, if it has one.
 func (p *Plane) ReplicaStatus() (replica.Status, bool) {
 	r := p.replica.Load()
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -47,7 +47,7 @@
 	// cover it.
 	growDelay = 1200 * clock.Millisecond
 	// newEnginePeriod is how long an engine counts as new; see layers.Engine.
-	newEnginePeriod = 2500 * clock.Millisecond
+	newEnginePeriod = 1300 * clock.Millisecond
 	// reportInterval is the interval at which an engine is asked whether it has executed
 	// its order, once the expected load time is over.
 	reportInterval = 150 * clock.Millisecond
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -134,6 +134,7 @@
 		return nil, err
 	}
 	r.catalog.SetVMCount(r.plane.LiveVMs)
+	r.catalog.SetPeerCount(r.plane.Peers)
 	r.upstreams = cfg.Upstreams(r.pool)
 	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.upstreams, Prober: r.pool, Log: r.log, Go: r.task})
 	r.handler = forward.New(forward.Config{
--- a/internal/routing/catalog/ahead.go
+++ b/internal/routing/catalog/ahead.go
@@ -31,9 +31,10 @@
 
 // ahead distributes the requests that other VMs have probably sent since the last news.
 type ahead struct {
-	pool  string
-	steps []map[string]usage // Additional load after each step, by upstream.
-	full  bool               // No path had capacity for another step.
+	pool    string
+	perStep float64            // Requests in each step.
+	steps   []map[string]usage // Additional load after each step, by upstream.
+	full    bool               // No path had capacity for another step.
 }
 
 // rate is the mean rate of this VM's requests to engines.
@@ -95,15 +96,28 @@
 	return sum
 }
 
+// unreported returns how many requests the VMs of the data centre have probably sent from which
+// nothing was heard yet, as after a start of all VMs: each as many as this one.
+func (c *Catalog) unreported(now clock.Time) float64 {
+	heard := 0
+	for _, v := range c.otherUsage {
+		if v.dataCentre == c.dataCentre && now.Sub(v.at) <= occupancyLifetime {
+			heard += v.vms
+		}
+	}
+	return float64(max(0, c.peerCount()-heard) * (1 + c.ownRequests))
+}
+
 // sentAhead returns the load of the requests that went before one that drew a number in [0, 1).
 func (c *Catalog) sentAhead(p *tables.Pool, m chain.Model, r chain.Request, now clock.Time) map[string]usage {
-	perStep := max(1, c.peersRate(now)*float64(maxLoadAge)/aheadSteps)
-	steps := int(r.Draw * c.peersRate(now) * float64(c.loadAge(now)) / perStep)
+	unreported := c.unreported(now)
+	perStep := max(1, (c.peersRate(now)*float64(maxLoadAge)+unreported)/aheadSteps)
+	steps := int(r.Draw * (c.peersRate(now)*float64(c.loadAge(now)) + unreported) / perStep)
 	if steps == 0 {
 		return nil
 	}
-	if c.ahead.pool != p.Name {
-		c.ahead = ahead{pool: p.Name}
+	if c.ahead.pool != p.Name || c.ahead.perStep != perStep {
+		c.ahead = ahead{pool: p.Name, perStep: perStep}
 	}
 	for len(c.ahead.steps) < steps && !c.ahead.full {
 		c.addStep(p, m, r, int(perStep+0.5))
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -43,6 +43,7 @@
 	registry      *registry.Registry
 	health        map[string]*health
 	ownUsage      map[string]*usage
+	ownRequests   int                    // Requests of this VM that hold capacity.
 	otherUsage    map[string]*otherUsage // By VM or data centre.
 	views         map[string]*poolView   // By pool.
 	capacityFreed chan struct{}          // Closed when a request releases its capacity.
@@ -52,12 +53,14 @@
 	vacated       map[string]clock.Time // When each engine was last vacated.
 	linkBusyUntil map[link]float64      // Time until which each link is busy, as a fractional clock.Time.
 	vmCount       func() int
+	peerCount     func() int
 	watchers      map[string]map[watchEntry]struct{} // By upstream.
 	dataCentre    string
 	rate          rate
 	loadsAt       clock.Time // When the newest report of other VMs' load was received.
 	ahead         ahead
-	durations     map[string]float64 // Mean expected duration of this VM's requests on each engine, in ms.
+	leavingSince  map[string]clock.Time // When each leaving upstream began to leave, as far as this VM knows.
+	durations     map[string]float64    // Mean expected duration of this VM's requests on each engine, in ms.
 }
 
 // Option changes how a Catalog behaves.
@@ -77,7 +80,7 @@
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*otherUsage{},
 		views: map[string]*poolView{}, capacityFreed: make(chan struct{}),
-		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, vacated: map[string]clock.Time{}, durations: map[string]float64{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 },
+		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, vacated: map[string]clock.Time{}, durations: map[string]float64{}, leavingSince: map[string]clock.Time{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 }, peerCount: func() int { return 0 },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -93,6 +96,14 @@
 	c.vmCount = vmCount
 }
 
+// SetPeerCount sets the function that returns the number of other live VMs of this VM's data
+// centre.
+func (c *Catalog) SetPeerCount(peerCount func() int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peerCount = peerCount
+}
+
 // SetTables implements controlplane.Directory.
 func (c *Catalog) SetTables(doc *tables.Document) {
 	number := uint64(0)
@@ -158,6 +169,7 @@
 		delete(c.health, previous.Id)
 		delete(c.paces, previous.Id)
 		delete(c.durations, previous.Id)
+		delete(c.leavingSince, previous.Id)
 		return
 	case !live:
 		return
@@ -176,6 +188,7 @@
 		change.Joined = append(change.Joined, current.Id)
 	case current.Leaving && !previous.Leaving:
 		change.Leaving = append(change.Leaving, current.Id)
+		c.leavingSince[current.Id] = c.clock.Now()
 	}
 }
 
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -363,3 +363,33 @@
 	defer release()
 	assert.Equal(t, choose(), "e1")
 }
+
+// TestLeavingEngineLastResort checks that an engine that begins to leave gets requests only for
+// layers that no other engine holds, and none after a second.
+func TestLeavingEngineLastResort(t *testing.T) {
+	f := newFleet(1)
+	c := f.catalogs[0]
+	choose := func() (string, error) {
+		p, release, err := c.ChoosePath(enginePool, chain.Request{Prompt: 10, Answer: 10, DataCentre: "x"})
+		if err != nil {
+			return "", err
+		}
+		release()
+		return p.Hops[0].Engine, nil
+	}
+	c.Announce(announcement("e1", "crew", "x", 1, 1, 0, 8))
+	leaving := announcement("e1", "crew", "x", 1, 2, 0, 8)
+	leaving.Leaving = true
+	c.Announce(leaving)
+	id, err := choose()
+	assert.NilError(t, err)
+	assert.Equal(t, id, "e1")
+	c.Announce(announcement("e2", "crew", "x", 1, 1, 0, 8))
+	id, err = choose()
+	assert.NilError(t, err)
+	assert.Equal(t, id, "e2")
+	c.Deregister("e2")
+	f.clock.Advance(1001)
+	_, err = choose()
+	assert.Equal(t, err, chain.ErrMissingLayers)
+}
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -26,6 +26,11 @@
 // hopDelayMs is the network delay of a hop, which the tables do not configure.
 const hopDelayMs = 0.1
 
+// leavingGrace is how long an engine that began to leave gets requests for layers that no other
+// engine holds: while the engines that take them over load, and well within the time for which
+// it still accepts requests.
+const leavingGrace = 1 * clock.Second
+
 // poolView caches the live upstreams of a pool.
 type poolView struct {
 	version   uint64 // Of the registry.
@@ -106,14 +111,14 @@
 }
 
 // engines returns the pool's engines that a path may use. If paused is set, it includes
-// the paused engines, but never dead ones. additional is load beyond what VMs reported.
+// the paused engines, and those that have just begun to leave, but never dead ones. additional is load beyond what VMs reported.
 func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool, paused bool, additional map[string]usage) []chain.Engine {
 	now := c.clock.Now()
 	unknownTokens := c.unknownRequests(now) * float64(p.Engine.DefaultPromptTokens+p.Engine.DefaultAnswerTokens)
 	all := c.view(p)
 	out := make([]chain.Engine, 0, len(all))
 	for _, u := range all {
-		if u.Leaving || u.LayerTo <= u.LayerFrom || exclude[u.Id] || c.isDead(u.Id, now) || !paused && c.paused(u.Id, now) {
+		if u.LayerTo <= u.LayerFrom || exclude[u.Id] || c.isDead(u.Id, now) || !paused && (u.Leaving || c.paused(u.Id, now)) || c.left(u, now) {
 			continue
 		}
 		k, ok := p.Engine.Kind(u.Accelerator)
@@ -135,6 +140,11 @@
 	return out
 }
 
+// left reports whether an engine has been leaving for so long that it gets no requests at all.
+func (c *Catalog) left(u *registry.Upstream, now clock.Time) bool {
+	return u.Leaving && now.Sub(c.leavingSince[u.Id]) > leavingGrace
+}
+
 // slowdownOf returns the current slowdown of an engine, or 0 when none is recorded.
 func (c *Catalog) slowdownOf(id string, now clock.Time) float64 {
 	if h := c.health[id]; h != nil {
--- a/internal/routing/catalog/herd_test.go
+++ b/internal/routing/catalog/herd_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
@@ -48,6 +50,7 @@
 	for i := range vms {
 		c := catalog.New(fmt.Sprint("vm", i), h.clock, clock.Hour, nil, catalog.WithDataCentre("x"))
 		c.SetVMCount(func() int { return vms })
+		c.SetPeerCount(func() int { return vms - 1 })
 		h.vms = append(h.vms, c)
 	}
 	h.addChain("fast", 4, 45_000)
@@ -94,9 +97,10 @@
 	}
 }
 
-func (h *herd) request(now clock.Time) {
+func (h *herd) request(now clock.Time) { h.requestThrough(h.vms[h.src.IntN(len(h.vms))], now) }
+
+func (h *herd) requestThrough(c *catalog.Catalog, now clock.Time) {
 	const prompt, answer = 772, 141
-	c := h.vms[h.src.IntN(len(h.vms))]
 	path, release, err := c.ChoosePath(herdPool, chain.Request{Prompt: prompt, Answer: answer, DataCentre: "x", Draw: h.src.Float64()})
 	if err != nil {
 		h.refused++
@@ -140,3 +144,17 @@
 		}
 	}
 }
+
+// TestHerdAfterStart starts all VMs at once, each of which has requests waiting and has heard
+// nothing of the others.
+func TestHerdAfterStart(t *testing.T) {
+	h := newHerd(t, 3, 60)
+	for range 2 {
+		for _, c := range h.vms {
+			h.requestThrough(c, h.clock.Now())
+		}
+	}
+	t.Logf("%d served, %d refused, fullest engine %.2f", h.served, h.refused, h.overload)
+	assert.Equal(t, h.refused, 0)
+	assert.Assert(t, h.overload <= 1, "an engine held %.2f of its memory", h.overload)
+}
--- a/internal/routing/catalog/occupancy.go
+++ b/internal/routing/catalog/occupancy.go
@@ -40,12 +40,14 @@
 }
 
 func (c *Catalog) reserve(p chain.Path) (release func()) {
+	c.ownRequests++
 	for _, h := range p.Hops {
 		c.addUsage(h.Engine, 1, p.Tokens*(h.To-h.From))
 	}
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		c.ownRequests--
 		for _, h := range p.Hops {
 			c.addUsage(h.Engine, -1, -p.Tokens*(h.To-h.From))
 		}
