Take a share of what other data centres have free, between two exchanges of the load

Ruled out: the requests of the own data centre, which are assumed since. Change: a data centre's VMs may fill 1/n of the free memory elsewhere, n being the data centres that could do the same.

--- a/internal/routing/catalog/ahead.go
+++ b/internal/routing/catalog/ahead.go
@@ -79,10 +79,41 @@
 	}
 }
 
-// unknownRequests returns by how many requests the number that other VMs of the data centre
-// have sent since the last news may exceed its mean.
-func (c *Catalog) unknownRequests(now clock.Time) float64 {
-	return unknownDeviations * math.Sqrt(c.peersRate(now)*float64(c.loadAge(now)))
+// unknown is what a VM doesn't know of the requests to the engines of one data centre.
+type unknown struct {
+	deviation float64 // Requests by which the number of those since the last news may exceed its mean.
+	taken     float64 // Share of the free memory that other data centres may take meanwhile.
+}
+
+// unknownOf returns what is unknown of the requests to each data centre. Each of the data centres
+// whose requests another one can take may fill an equal share of its free memory between two
+// exchanges: if all of them lost engines, all would send to the same ones.
+func (c *Catalog) unknownOf(now clock.Time) map[string]unknown {
+	type source struct {
+		perMs float64
+		age   clock.Duration
+	}
+	sources := map[string]source{c.dataCentre: {}}
+	for _, v := range c.otherUsage {
+		if age := now.Sub(v.at); age <= occupancyLifetime {
+			s := sources[v.dataCentre]
+			sources[v.dataCentre] = source{perMs: s.perMs + v.perMs, age: max(s.age, age+reportDelay)}
+		}
+	}
+	out := make(map[string]unknown, len(sources))
+	for name, s := range sources {
+		if name == c.dataCentre {
+			out[name] = unknown{deviation: c.deviation(s.perMs, c.loadAge(now))}
+			continue
+		}
+		out[name] = unknown{deviation: c.deviation(s.perMs, s.age), taken: 1 - 1/float64(len(sources)-1)}
+	}
+	return out
+}
+
+// deviation returns by how many requests the number of those sent at a rate may exceed its mean.
+func (c *Catalog) deviation(perMs float64, age clock.Duration) float64 {
+	return unknownDeviations * math.Sqrt(perMs*float64(age))
 }
 
 // peersRate returns the rate of the requests of the other VMs of this data centre, per ms.
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -114,7 +114,7 @@
 // the paused engines, and those that have just begun to leave, but never dead ones. additional is load beyond what VMs reported.
 func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool, paused bool, additional map[string]usage) []chain.Engine {
 	now := c.clock.Now()
-	unknownTokens := c.unknownRequests(now) * float64(p.Engine.DefaultPromptTokens+p.Engine.DefaultAnswerTokens)
+	unknowns, usualTokens := c.unknownOf(now), float64(p.Engine.DefaultPromptTokens+p.Engine.DefaultAnswerTokens)
 	all := c.view(p)
 	out := make([]chain.Engine, 0, len(all))
 	for _, u := range all {
@@ -125,13 +125,16 @@
 		if !ok {
 			continue
 		}
-		used := c.usageAfter(u.Id, now, c.remaining(u.Id, now)).plus(additional[u.Id])
+		known := c.usageAfter(u.Id, now, c.remaining(u.Id, now))
+		used := known.plus(additional[u.Id])
 		from, to, pace := int(u.LayerFrom), int(u.LayerTo), c.paceOf(u.Id, now)
 		e := chain.Engine{
 			ID: u.Id, Address: u.Address, DataCentre: u.DataCentre, From: from, To: to,
 			StepFactor: pace * k.StepFactor, ReadFactor: pace * k.ReadFactor, Slowdown: 1 + c.slowdownOf(u.Id, now),
-			Capacity: capacityOf(p.Engine, k, to-from), Used: float64(used.tokens), Margin: unknownTokens * float64(to-from), Requests: used.requests,
+			Capacity: capacityOf(p.Engine, k, to-from), Used: float64(used.tokens), Requests: used.requests,
 		}
+		missing := unknowns[u.DataCentre]
+		e.Margin = missing.deviation*usualTokens*float64(to-from) + missing.taken*max(0, e.Capacity-float64(known.tokens))
 		if from == 0 {
 			e.FirstHopRequests = used.requests
 		}
--- a/internal/routing/catalog/herd_test.go
+++ b/internal/routing/catalog/herd_test.go
@@ -14,6 +14,7 @@
 	"github.com/jasminecove/jasminecove/internal/fleet/loadsum"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
@@ -26,13 +27,13 @@
 	},
 }}
 
-// herd is a data centre of many VMs that send requests through the same engines and learn of
-// each other's load twice a second.
+// herd is a fleet of many VMs that send requests through the same engines, learn of each other's
+// load twice a second, and of that of the other data centres once a second.
 type herd struct {
 	clock     *clock.Manual
 	src       *rng.Source
-	vms       []*catalog.Catalog
-	collector *loadsum.Collector
+	vms       []herdVM
+	collector map[string]*loadsum.Collector // By data centre.
 	used      map[string]float64 // True load of each engine, in tokens times layers: half of an answer on average.
 	capacity  map[string]float64
 	ends      map[clock.Time][]func()
@@ -41,32 +42,45 @@
 	overload        float64 // Largest true load of an engine, as a share of its memory.
 }
 
-func newHerd(t *testing.T, seed uint64, vms int) *herd {
+// herdVM is a VM of a herd.
+type herdVM struct {
+	*catalog.Catalog
+	name, dataCentre string
+}
+
+// newHerd makes a herd of data centres with so many VMs each, and a fast and two slow chains.
+func newHerd(t *testing.T, seed uint64, vms int, dataCentres ...string) *herd {
 	t.Helper()
 	h := &herd{
-		clock: clock.NewManual(1_000_000), src: rng.New(seed), collector: loadsum.New("x"), used: map[string]float64{}, capacity: map[string]float64{},
+		clock: clock.NewManual(1_000_000), src: rng.New(seed), collector: map[string]*loadsum.Collector{}, used: map[string]float64{}, capacity: map[string]float64{},
 		ends: map[clock.Time][]func(){},
 	}
-	for i := range vms {
-		c := catalog.New(fmt.Sprint("vm", i), h.clock, clock.Hour, nil, catalog.WithDataCentre("x"))
-		c.SetVMCount(func() int { return vms })
-		c.SetPeerCount(func() int { return vms - 1 })
-		h.vms = append(h.vms, c)
+	for _, dc := range dataCentres {
+		h.collector[dc] = loadsum.New(dc)
+		for i := range vms {
+			vm := herdVM{name: fmt.Sprint(dc, i), dataCentre: dc}
+			vm.Catalog = catalog.New(vm.name, h.clock, clock.Hour, nil, catalog.WithDataCentre(dc))
+			vm.SetVMCount(func() int { return vms * len(dataCentres) })
+			vm.SetPeerCount(func() int { return vms - 1 })
+			h.vms = append(h.vms, vm)
+		}
+	}
+	for _, dc := range dataCentres {
+		h.addChain(dc, "fast", 4, 45_000)
+		h.addChain(dc, "slow", 6, 32_000)
+		h.addChain(dc, "slow", 6, 32_000)
 	}
-	h.addChain("fast", 4, 45_000)
-	h.addChain("slow", 6, 32_000)
-	h.addChain("slow", 6, 32_000)
 	return h
 }
 
-func (h *herd) addChain(kind string, engines int, memoryMB float64) {
+func (h *herd) addChain(dc, kind string, engines int, memoryMB float64) {
 	for i := range engines {
 		from, to := i*80/engines, (i+1)*80/engines
-		id := fmt.Sprint(kind, len(h.capacity))
+		id := fmt.Sprint(kind, dc, len(h.capacity))
 		h.capacity[id] = (memoryMB - float64(to-from)*1750) / (0.59 / 80)
 		for _, c := range h.vms {
 			c.Announce(&upstreampb.Announcement{
-				Id: id, Name: "crew", Address: id + ":1", DataCentre: "x", StartedMs: 1, Sequence: 1, LeaseMs: 1 << 30, Accelerator: kind,
+				Id: id, Name: "crew", Address: id + ":1", DataCentre: dc, StartedMs: 1, Sequence: 1, LeaseMs: 1 << 30, Accelerator: kind,
 				LayerFrom: uint32(from), LayerTo: uint32(to), Slots: 192,
 			})
 		}
@@ -75,7 +89,7 @@
 
 // play sends requests at a rate through random VMs, each of which reports every 480 ms.
 func (h *herd) play(span clock.Duration, perSecond float64) {
-	const reportInterval = 480
+	const reportInterval, exchangeInterval = 480, 1000
 	next := float64(h.clock.Now())
 	for end := h.clock.Now().Add(span); h.clock.Now() < end; h.clock.Advance(1) {
 		now := h.clock.Now()
@@ -87,8 +101,15 @@
 			if (int(now)+i*reportInterval/len(h.vms))%reportInterval == 0 {
 				o := c.Occupancy()
 				o.Boot, o.Sequence = 1, uint64(now)
-				h.collector.Report(now, fmt.Sprint("vm", i), o)
-				c.MergeLoads(o, h.collector.All(now))
+				h.collector[c.dataCentre].Report(now, c.name, o)
+				c.MergeLoads(o, h.collector[c.dataCentre].All(now))
+			}
+		}
+		if int(now)%exchangeInterval == 0 {
+			for _, from := range h.collector {
+				for _, to := range h.collector {
+					to.Merge(now, []*fleetpb.LoadSum{from.Own(now)})
+				}
 			}
 		}
 		for ; next <= float64(now); next += -math.Log(1-h.src.Float64()) * 1000 / perSecond {
@@ -99,9 +120,9 @@
 
 func (h *herd) request(now clock.Time) { h.requestThrough(h.vms[h.src.IntN(len(h.vms))], now) }
 
-func (h *herd) requestThrough(c *catalog.Catalog, now clock.Time) {
+func (h *herd) requestThrough(c herdVM, now clock.Time) {
 	const prompt, answer = 772, 141
-	path, release, err := c.ChoosePath(herdPool, chain.Request{Prompt: prompt, Answer: answer, DataCentre: "x", Draw: h.src.Float64()})
+	path, release, err := c.ChoosePath(herdPool, chain.Request{Prompt: prompt, Answer: answer, DataCentre: c.dataCentre, Draw: h.src.Float64()})
 	if err != nil {
 		h.refused++
 		return
@@ -131,7 +152,7 @@
 func TestHerd(t *testing.T) {
 	for _, perSecond := range []float64{70, 110, 160} {
 		seed := uint64(perSecond)
-		h := newHerd(t, seed, 60)
+		h := newHerd(t, seed, 60, "x")
 		h.play(8*clock.Second, perSecond)
 		h.served, h.refused, h.overload = 0, 0, 0
 		h.play(20*clock.Second, perSecond)
@@ -148,7 +169,7 @@
 // TestHerdAfterStart starts all VMs at once, each of which has requests waiting and has heard
 // nothing of the others.
 func TestHerdAfterStart(t *testing.T) {
-	h := newHerd(t, 3, 60)
+	h := newHerd(t, 3, 60, "x")
 	for range 2 {
 		for _, c := range h.vms {
 			h.requestThrough(c, h.clock.Now())
@@ -158,3 +179,23 @@
 	assert.Equal(t, h.refused, 0)
 	assert.Assert(t, h.overload <= 1, "an engine held %.2f of its memory", h.overload)
 }
+
+// TestHerdOfDataCentres plays a fleet in which several data centres lose their fast chain at once.
+// Their VMs, which know the load of the data centre that keeps its own with a delay of one to two
+// seconds, must not fill it beyond its memory, while the slow chains serve what it can't.
+func TestHerdOfDataCentres(t *testing.T) {
+	h := newHerd(t, 5, 20, "x", "y", "z", "w")
+	h.play(6*clock.Second, 200)
+	for id := range h.capacity {
+		if strings.HasPrefix(id, "fast") && !strings.HasPrefix(id, "fastx") {
+			for _, c := range h.vms {
+				c.MarkDead(id, false)
+			}
+		}
+	}
+	h.served, h.refused, h.overload = 0, 0, 0
+	h.play(6*clock.Second, 200)
+	t.Logf("%d served, %d refused, fullest engine %.2f", h.served, h.refused, h.overload)
+	assert.Equal(t, h.refused, 0)
+	assert.Assert(t, h.overload <= 1, "an engine held %.2f of its memory", h.overload)
+}
