--- a/internal/routing/catalog/herd_test.go
+++ b/internal/routing/catalog/herd_test.go
@@ -34,7 +34,7 @@
 	src       *rng.Source
 	vms       []herdVM
 	collector map[string]*loadsum.Collector // By data centre.
-	used      map[string]float64 // True load of each engine, in tokens times layers: half of an answer on average.
+	used      map[string]float64            // True load of each engine, in tokens times layers: half of an answer on average.
 	capacity  map[string]float64
 	ends      map[clock.Time][]func()
 
