Take what other data centres have free in shares of those that lack a path, before refusing

Change: a request that would be refused uses a share for each data centre without a path of its own, found from the same load.

--- a/internal/routing/catalog/ahead.go
+++ b/internal/routing/catalog/ahead.go
@@ -85,10 +85,10 @@
 	taken     float64 // Share of the free memory that other data centres may take meanwhile.
 }
 
-// unknownOf returns what is unknown of the requests to each data centre. Each of the data centres
-// whose requests another one can take may fill an equal share of its free memory between two
-// exchanges: if all of them lost engines, all would send to the same ones.
-func (c *Catalog) unknownOf(now clock.Time) map[string]unknown {
+// unknownOf returns what is unknown of the requests to each data centre, if so many data centres
+// have requests for others. Each of these may fill an equal share of the free memory of another
+// one between two exchanges: if all of them lost engines, all would send to the same ones.
+func (c *Catalog) unknownOf(senders int, now clock.Time) map[string]unknown {
 	type source struct {
 		perMs float64
 		age   clock.Duration
@@ -103,16 +103,35 @@
 	out := make(map[string]unknown, len(sources))
 	for name, s := range sources {
 		if name == c.dataCentre {
-			out[name] = unknown{deviation: c.deviation(s.perMs, c.loadAge(now))}
+			out[name] = unknown{deviation: deviation(s.perMs, c.loadAge(now))}
 			continue
 		}
-		out[name] = unknown{deviation: c.deviation(s.perMs, s.age), taken: 1 - 1/float64(len(sources)-1)}
+		out[name] = unknown{deviation: deviation(s.perMs, s.age), taken: 1 - 1/float64(min(senders, len(sources)-1))}
 	}
 	return out
 }
 
+// withoutPath returns the number of data centres whose own usable engines have no path with free
+// memory through all layers: at least 1, for that of this VM.
+func withoutPath(m chain.Model, engines []chain.Engine, own string) int {
+	byCentre := map[string][]chain.Engine{own: nil}
+	for _, e := range engines {
+		byCentre[e.DataCentre] = append(byCentre[e.DataCentre], e)
+	}
+	n := 1
+	for name, of := range byCentre {
+		if name == own {
+			continue
+		}
+		if _, err := chain.Choose(m, of, chain.Request{DataCentre: name}); err != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // deviation returns by how many requests the number of those sent at a rate may exceed its mean.
-func (c *Catalog) deviation(perMs float64, age clock.Duration) float64 {
+func deviation(perMs float64, age clock.Duration) float64 {
 	return unknownDeviations * math.Sqrt(perMs*float64(age))
 }
 
@@ -169,7 +188,7 @@
 	if usual.Prompt == 0 {
 		usual.Prompt, usual.Answer = r.Prompt, r.Answer
 	}
-	path, err := chain.Choose(m, c.engines(p, nil, false, before), usual)
+	path, err := chain.Choose(m, c.engines(p, nil, assumption{additional: before}), usual)
 	if err != nil {
 		c.ahead.full = true
 		return
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
@@ -90,16 +91,15 @@
 	now := c.clock.Now()
 	m := chainModel(p.Engine)
 	m.LinkWaitMs = func(a, b string) float64 { return c.linkWait(linkBetween(a, b), now) }
-	if before := c.sentAhead(p, m, r, now); before != nil {
-		path, err = chain.Choose(m, c.engines(p, r.Exclude, false, before), r)
-	}
-	if len(path.Hops) == 0 {
-		// What other VMs sent is only assumed, and may be no reason to refuse a request.
-		path, err = chain.Choose(m, c.engines(p, r.Exclude, false, nil), r)
+	path, err = chain.Choose(m, c.engines(p, r.Exclude, assumption{additional: c.sentAhead(p, m, r, now)}), r)
+	if errors.Is(err, chain.ErrFull) {
+		// What others have sent is only assumed, and may be no reason to refuse a request.
+		known := c.engines(p, r.Exclude, assumption{senders: 1})
+		path, err = chain.Choose(m, c.engines(p, r.Exclude, assumption{senders: withoutPath(m, known, r.DataCentre)}), r)
 	}
 	if errors.Is(err, chain.ErrMissingLayers) {
 		// A paused engine is better than a layer without any engine.
-		path, err = chain.Choose(m, c.engines(p, r.Exclude, true, nil), r)
+		path, err = chain.Choose(m, c.engines(p, r.Exclude, assumption{paused: true, senders: 1}), r)
 	}
 	if err != nil {
 		return path, nil, err
@@ -110,15 +110,24 @@
 	return path, c.reserve(path), nil
 }
 
-// engines returns the pool's engines that a path may use. If paused is set, it includes
-// the paused engines, and those that have just begun to leave, but never dead ones. additional is load beyond what VMs reported.
-func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool, paused bool, additional map[string]usage) []chain.Engine {
+// assumption is what a choice of a path assumes.
+type assumption struct {
+	additional map[string]usage // Load beyond what VMs reported, by upstream.
+	senders    int              // Number of data centres with requests for others; 0 stands for all.
+	paused     bool             // Paused engines, and those that have just begun to leave, are usable.
+}
+
+// engines returns the pool's engines that a path may use, which are never dead ones.
+func (c *Catalog) engines(p *tables.Pool, exclude map[string]bool, a assumption) []chain.Engine {
 	now := c.clock.Now()
-	unknowns, usualTokens := c.unknownOf(now), float64(p.Engine.DefaultPromptTokens+p.Engine.DefaultAnswerTokens)
+	if a.senders == 0 {
+		a.senders = math.MaxInt
+	}
+	unknowns, usualTokens := c.unknownOf(a.senders, now), float64(p.Engine.DefaultPromptTokens+p.Engine.DefaultAnswerTokens)
 	all := c.view(p)
 	out := make([]chain.Engine, 0, len(all))
 	for _, u := range all {
-		if u.LayerTo <= u.LayerFrom || exclude[u.Id] || c.isDead(u.Id, now) || !paused && (u.Leaving || c.paused(u.Id, now)) || c.left(u, now) {
+		if u.LayerTo <= u.LayerFrom || exclude[u.Id] || c.isDead(u.Id, now) || !a.paused && (u.Leaving || c.paused(u.Id, now)) || c.left(u, now) {
 			continue
 		}
 		k, ok := p.Engine.Kind(u.Accelerator)
@@ -126,7 +135,7 @@
 			continue
 		}
 		known := c.usageAfter(u.Id, now, c.remaining(u.Id, now))
-		used := known.plus(additional[u.Id])
+		used := known.plus(a.additional[u.Id])
 		from, to, pace := int(u.LayerFrom), int(u.LayerTo), c.paceOf(u.Id, now)
 		e := chain.Engine{
 			ID: u.Id, Address: u.Address, DataCentre: u.DataCentre, From: from, To: to,
