Test that engines are vacated before they give up layers, and how often a refused order is repeated

Requests that stay on an engine are cut only if they are few; an engine that refuses gets an order a second at most.

--- a/internal/node/placer/placer_test.go
+++ b/internal/node/placer/placer_test.go
@@ -19,13 +19,15 @@
 
 // fakeEngines executes orders either at once or with a delay.
 type fakeEngines struct {
-	mu      sync.Mutex
-	held    map[string][2]int
-	taken   map[string]int64
-	delayed bool // Orders get no reply and are kept in pending.
-	pending []placer.Order
-	orders  int
-	maxSpan int // Largest number of layers in one order.
+	mu       sync.Mutex
+	held     map[string][2]int
+	taken    map[string]int64
+	delayed  bool // Orders get no reply and are kept in pending.
+	refusing bool // Orders are refused.
+	pending  []placer.Order
+	cuts     []bool // Of the orders, in their order.
+	orders   int
+	maxSpan  int // Largest number of layers in one order.
 }
 
 // Place implements placer.API.
@@ -33,11 +35,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
+	e.cuts = append(e.cuts, o.Cut)
 	e.maxSpan = max(e.maxSpan, o.To-o.From)
 	if e.delayed {
 		e.pending = append(e.pending, o)
 		return placer.ErrUnanswered
 	}
+	if e.refusing {
+		return placer.ErrRefused
+	}
 	return e.execute(o)
 }
 
@@ -108,6 +114,15 @@
 	return c
 }
 
+// announce makes an engine that holds layers known.
+func announce(c *catalog.Catalog, e *fakeEngines, id string, from, to int) {
+	e.held[id] = [2]int{from, to}
+	c.Announce(&upstreampb.Announcement{
+		Id: id, Name: "crew", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "card", StartedMs: 2, Sequence: 1, LeaseMs: 60_000,
+		LayerFrom: uint32(from), LayerTo: uint32(to),
+	})
+}
+
 func (e *fakeEngines) allPlaced() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -174,6 +189,60 @@
 	assert.Assert(t, e.maxSpan <= 7, "an order exceeds an engine's memory")
 }
 
+// TestVacateBeforeOrder has the only engines in use hold the first layers, so that one of them
+// must give some up. Its requests get time to leave before the order is sent; those that
+// stay are cut only if they are few.
+func TestVacateBeforeOrder(t *testing.T) {
+	for name, test := range map[string]struct {
+		requests, leaving int
+		wantCut           bool
+	}{
+		"no requests":           {requests: 0, wantCut: true},
+		"few requests stay":     {requests: 3, wantCut: true},
+		"many requests stay":    {requests: 8, wantCut: false},
+		"all but a few leave":   {requests: 8, leaving: 6, wantCut: true},
+		"too many do not leave": {requests: 8, leaving: 3, wantCut: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := &fakeEngines{}
+			c := startController(t, true, e)
+			for i := range 4 {
+				id := fmt.Sprint("e", i)
+				if i >= 2 {
+					c.Deregister(id)
+					continue
+				}
+				announce(c, e, id, 0, 6)
+				for k := range test.requests {
+					release := c.Reserve(chain.Path{Tokens: 10, Hops: []chain.Hop{{Engine: id, From: 0, To: 6}}})
+					if k < test.leaving {
+						w := c.Watch([]string{id}, func(string) {}, func(string) { release() })
+						t.Cleanup(w.Stop)
+					}
+				}
+			}
+			eventually(t, e.allPlaced)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			assert.DeepEqual(t, e.cuts, []bool{test.wantCut})
+		})
+	}
+}
+
+// TestRefusedOrderNotRepeatedAtOnce has an engine refuse its orders, as one does that still
+// executes an earlier one: it is asked for its state, and gets an order a second at most.
+func TestRefusedOrderNotRepeatedAtOnce(t *testing.T) {
+	t.Parallel()
+	e := &fakeEngines{refusing: true}
+	startController(t, true, e)
+	time.Sleep(9 * time.Second)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.Assert(t, e.orders >= 4, "%d orders", e.orders)
+	assert.Assert(t, e.orders <= 4*8, "%d orders to 4 engines in 8 s", e.orders)
+}
+
 func eventually(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
