--- a/internal/request/shortage/shortage.go
+++ b/internal/request/shortage/shortage.go
@@ -10,9 +10,10 @@
 
 const (
 	// GapDuration is the usual duration of a shortage after a loss of engines: the time to notice
-	// the loss, to order layers, and to load them. FullDuration is that of a shortage of
-	// capacity, which ends with other requests.
-	GapDuration  = 4 * clock.Second
+	// the loss, to order layers, and to load them.
+	GapDuration = 4 * clock.Second
+	// FullDuration is the usual duration of a shortage of capacity, which ends with other
+	// requests.
 	FullDuration = 1 * clock.Second
 	// durationWeight is the smoothing factor of the mean duration.
 	durationWeight = 0.3
