--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -95,3 +95,26 @@
 	_, live := b.Get("e1")
 	assert.Assert(t, live)
 }
+
+// TestHash checks that VMs that know the same live upstreams have the same hash, whichever way
+// they learned of them, and others do not.
+func TestHash(t *testing.T) {
+	a, b := registry.New("vm1"), registry.New("vm2")
+	one, two := announce(1, false), announce(1, false)
+	two.Id = "e2"
+	a.Announce(0, one)
+	a.Announce(0, two)
+	assert.Assert(t, a.Hash() != b.Hash())
+	b.ApplyDigest(50, a.DigestOf(50, "e2"))
+	b.ApplyDigest(60, a.DigestOf(60, "e1"))
+	assert.Equal(t, a.Hash(), b.Hash())
+	a.Announce(100, announce(2, true))
+	assert.Assert(t, a.Hash() != b.Hash(), "an upstream that leaves has the hash of one that stays")
+	b.ApplyDigest(110, a.DigestOf(110, "e1"))
+	assert.Equal(t, a.Hash(), b.Hash())
+	for _, ended := range a.Expire(5000) {
+		b.ApplyDigest(5000, ended)
+	}
+	assert.Equal(t, a.Hash(), uint64(0))
+	assert.Equal(t, b.Hash(), uint64(0))
+}
--- a/internal/node/admin/server.go
+++ b/internal/node/admin/server.go
@@ -14,6 +14,7 @@
 	"github.com/jasminecove/jasminecove/internal/control/client"
 	"github.com/jasminecove/jasminecove/internal/node/accounts"
 	"github.com/jasminecove/jasminecove/internal/node/controlplane"
+	"github.com/jasminecove/jasminecove/internal/node/telemetry"
 	"github.com/jasminecove/jasminecove/internal/request/filter"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
@@ -31,6 +32,7 @@
 	Status   func() Status
 	Ready    func() error
 	Metrics  http.Handler
+	Profiles http.Handler // Nil if it is turned off.
 	Token    string // Empty disables authentication, for a lone VM on loopback.
 }
 
@@ -40,6 +42,9 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.Handle("GET /metrics", s.Metrics)
+	if s.Profiles != nil {
+		mux.HandleFunc("GET "+telemetry.ProfilesPath, s.guard(s.Profiles.ServeHTTP))
+	}
 	mux.HandleFunc("GET /v1/status", s.guard(func(w http.ResponseWriter, _ *http.Request) { respond(w, http.StatusOK, s.Status()) }))
 	mux.HandleFunc("GET /v1/tables", s.guard(s.serveGet))
 	mux.HandleFunc("POST /v1/tables", s.guard(s.serveApply))
--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -168,7 +168,7 @@
 
 // operatorsServer creates the operators' interface with the token from the settings.
 func (n *Node) operatorsServer() (*admin.Server, error) {
-	s := &admin.Server{Plane: n.plane, Accounts: n.accounts, Status: n.Status, Ready: n.Ready, Metrics: n.tel.Handler}
+	s := &admin.Server{Plane: n.plane, Accounts: n.accounts, Status: n.Status, Ready: n.Ready, Metrics: n.tel.Handler, Profiles: telemetry.Profiles(n.settings.Telemetry)}
 	if file := n.settings.Operators.TokenFile; file != "" {
 		data, err := os.ReadFile(file)
 		if err != nil {
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -155,6 +155,9 @@
 	ready.HandleFunc("GET "+r.cfg.ReadyPath, r.serveReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", r.tel.Handler)
+	if profiles := telemetry.Profiles(r.cfg.Settings.Telemetry); profiles != nil {
+		metrics.Handle("GET "+telemetry.ProfilesPath, profiles)
+	}
 	for _, l := range []struct {
 		address string
 		handler http.Handler
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -83,6 +83,7 @@
 	TraceFile  string  `yaml:"traceFile,omitempty"`
 	TraceOTLP  string  `yaml:"traceOtlp,omitempty"` // host:port of a collector.
 	TraceRatio float64 `yaml:"traceRatio,omitempty"`
+	Profiles   bool    `yaml:"profiles,omitempty"` // Serves profiles of the process beside the metrics.
 }
 
 // Drain configures the graceful shutdown.
