--- a/internal/node/admin/server.go
+++ b/internal/node/admin/server.go
@@ -33,7 +33,7 @@
 	Ready    func() error
 	Metrics  http.Handler
 	Profiles http.Handler // Nil if it is turned off.
-	Token    string // Empty disables authentication, for a lone VM on loopback.
+	Token    string       // Empty disables authentication, for a lone VM on loopback.
 }
 
 // Handler returns the handler of the operators' interface.
