Keep what is unknown of the load in a file of its own

A move within the package: ahead.go had two concepts, what others have sent since the last news and what cannot be known. Measured: go test of the package passes.

--- a/internal/routing/catalog/ahead.go
+++ b/internal/routing/catalog/ahead.go
@@ -8,10 +8,11 @@
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
 )
 
-// The load of other VMs is known with a delay, within which each of them sends more requests.
-// If all of them sent to the path that was best at their last news, its engines would overflow
-// while others stay empty. A VM therefore assumes that a random part of the requests that its
-// data centre has sent since then went before its own, each to the path that was best by then.
+// The load that other VMs report is known with a delay, within which each of them sends more
+// requests. If all of them sent to the path that was best at their last news, its engines would
+// overflow while others stay empty. A VM therefore assumes that a random part of the requests
+// that its data centre has sent since then went before its own, each to the path that was best
+// by then.
 
 const (
 	// reportDelay is the mean age of the reports within a sum.
@@ -20,9 +21,6 @@
 	maxLoadAge = 1 * clock.Second
 	// aheadSteps is the number of steps in which the requests of maxLoadAge are distributed.
 	aheadSteps = 8
-	// unknownDeviations is the number of standard deviations of the requests since the last
-	// news for which engines keep memory free.
-	unknownDeviations = 2
 	// durationWeight is the smoothing factor of the duration of requests on an engine.
 	durationWeight = 0.2
 	// rateHalfLife is the half-life of the mean of the rate of requests.
@@ -79,62 +77,6 @@
 	}
 }
 
-// unknown is what a VM doesn't know of the requests to the engines of one data centre.
-type unknown struct {
-	deviation float64 // Requests by which the number of those since the last news may exceed its mean.
-	taken     float64 // Share of the free memory that other data centres may take meanwhile.
-}
-
-// unknownOf returns what is unknown of the requests to each data centre, if so many data centres
-// have requests for others. Each of these may fill an equal share of the free memory of another
-// one between two exchanges: if all of them lost engines, all would send to the same ones.
-func (c *Catalog) unknownOf(senders int, now clock.Time) map[string]unknown {
-	type source struct {
-		perMs float64
-		age   clock.Duration
-	}
-	sources := map[string]source{c.dataCentre: {}}
-	for _, v := range c.otherUsage {
-		if age := now.Sub(v.at); age <= occupancyLifetime {
-			s := sources[v.dataCentre]
-			sources[v.dataCentre] = source{perMs: s.perMs + v.perMs, age: max(s.age, age+reportDelay)}
-		}
-	}
-	out := make(map[string]unknown, len(sources))
-	for name, s := range sources {
-		if name == c.dataCentre {
-			out[name] = unknown{deviation: deviation(s.perMs, c.loadAge(now))}
-			continue
-		}
-		out[name] = unknown{deviation: deviation(s.perMs, s.age), taken: 1 - 1/float64(min(senders, len(sources)-1))}
-	}
-	return out
-}
-
-// withoutPath returns the number of data centres whose own usable engines have no path with free
-// memory through all layers: at least 1, for that of this VM.
-func withoutPath(m chain.Model, engines []chain.Engine, own string) int {
-	byCentre := map[string][]chain.Engine{own: nil}
-	for _, e := range engines {
-		byCentre[e.DataCentre] = append(byCentre[e.DataCentre], e)
-	}
-	n := 1
-	for name, of := range byCentre {
-		if name == own {
-			continue
-		}
-		if _, err := chain.Choose(m, of, chain.Request{DataCentre: name}); err != nil {
-			n++
-		}
-	}
-	return n
-}
-
-// deviation returns by how many requests the number of those sent at a rate may exceed its mean.
-func deviation(perMs float64, age clock.Duration) float64 {
-	return unknownDeviations * math.Sqrt(perMs*float64(age))
-}
-
 // peersRate returns the rate of the requests of the other VMs of this data centre, per ms.
 func (c *Catalog) peersRate(now clock.Time) float64 {
 	sum := 0.0
