Name the package of explain after its command, and drop words of our own from comments

logstory is now internal/cli/explain; the load's reports are called reports. VMs that a plane avoids as collectors are forgotten once that is over: the map grew with each VM that was ever lost.

--- a/internal/cli/command/read.go
+++ b/internal/cli/command/read.go
@@ -11,7 +11,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"github.com/jasminecove/jasminecove/internal/cli/logstory"
+	"github.com/jasminecove/jasminecove/internal/cli/explain"
 	"github.com/jasminecove/jasminecove/internal/cli/operator"
 )
 
@@ -118,7 +118,7 @@
 }
 
 // readLogs reads the lines of the log files in a comma-separated list, in which - is standard input.
-func readLogs(names string) ([]logstory.Line, error) {
+func readLogs(names string) ([]explain.Line, error) {
 	var in []io.Reader
 	for _, name := range strings.Split(names, ",") {
 		if name == "-" {
@@ -132,7 +132,7 @@
 		defer func() { _ = f.Close() }()
 		in = append(in, f)
 	}
-	lines, err := logstory.Read(in...)
+	lines, err := explain.Read(in...)
 	if err != nil {
 		return nil, withExitCode(ExitInvalid, err)
 	}
@@ -145,14 +145,14 @@
 	if err != nil {
 		return err
 	}
-	selected, err := logstory.RequestLines(lines, id)
+	selected, err := explain.RequestLines(lines, id)
 	if err != nil {
 		return err
 	}
 	for _, l := range selected {
 		fmt.Fprintln(streams.Out, l)
 	}
-	fmt.Fprintln(streams.Out, logstory.Cause(selected, id))
+	fmt.Fprintln(streams.Out, explain.Cause(selected, id))
 	return nil
 }
 
--- a/internal/cli/logstory/logstory.go
+++ b/internal/cli/explain/explain.go
@@ -1,7 +1,7 @@
-// Package logstory reconstructs the history of a request from the logs of several VMs. It
+// Package explain reconstructs the history of a request from the logs of several VMs. It
 // selects the log lines of the request and those about the upstreams that served it in the
 // same period, merges them by time, and summarizes the cause of the request's end.
-package logstory
+package explain
 
 import (
 	"bufio"
@@ -17,7 +17,7 @@
 )
 
 // ErrNotFound reports that no log line has the request's id.
-const ErrNotFound = fault.Sentinel("logstory: no line names the request")
+const ErrNotFound = fault.Sentinel("explain: no line names the request")
 
 // upstreamWindow is how long before the request's arrival and after its last line the log
 // lines about its upstreams are included.
--- a/internal/cli/logstory/logstory_test.go
+++ b/internal/cli/explain/explain_test.go
@@ -1,4 +1,4 @@
-package logstory_test
+package explain_test
 
 import (
 	"errors"
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/jasminecove/jasminecove/internal/cli/logstory"
+	"github.com/jasminecove/jasminecove/internal/cli/explain"
 )
 
 const firstVMLog = `  3.1 vm-a {"@level":"info","@message":"runEnded","@module":"vm-a","@timestamp":"2026-10-03T19:07:03.500Z","id":"r1","upstream":"e1","cause":"forward: the stream made no progress","atMs":1200}
@@ -23,18 +23,18 @@
 // The lines of both VMs are merged by time; other requests' lines and later lines about the upstream
 // are left out.
 func TestRequestLinesOfTwoVMs(t *testing.T) {
-	lines, err := logstory.Read(strings.NewReader(firstVMLog), strings.NewReader(secondVMLog))
+	lines, err := explain.Read(strings.NewReader(firstVMLog), strings.NewReader(secondVMLog))
 	assert.NilError(t, err)
-	selected, err := logstory.RequestLines(lines, "r1")
+	selected, err := explain.RequestLines(lines, "r1")
 	assert.NilError(t, err)
 	var decisions []string
 	for _, l := range selected {
 		decisions = append(decisions, l.Decision)
 	}
 	assert.DeepEqual(t, decisions, []string{"upstreamSuspected", "runEnded", "failed"})
-	cause := logstory.Cause(selected, "r1")
+	cause := explain.Cause(selected, "r1")
 	assert.Assert(t, strings.Contains(cause, "upstreamFailed: cut (unknown)"), cause)
 	assert.Assert(t, strings.Contains(cause, "e1 was found dead: another engine waits for it"), cause)
-	_, err = logstory.RequestLines(lines, "nobody")
-	assert.Assert(t, errors.Is(err, logstory.ErrNotFound))
+	_, err = explain.RequestLines(lines, "nobody")
+	assert.Assert(t, errors.Is(err, explain.ErrNotFound))
 }
--- a/internal/cli/logreport/logreport.go
+++ b/internal/cli/logreport/logreport.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/fault"
-	"github.com/jasminecove/jasminecove/internal/cli/logstory"
+	"github.com/jasminecove/jasminecove/internal/cli/explain"
 )
 
 // ErrNoRequests reports that no log line records the end of a request.
@@ -62,7 +62,7 @@
 }
 
 // New counts the decisions in lines, which must be sorted by time.
-func New(lines []logstory.Line, o Objective) (*Report, error) {
+func New(lines []explain.Line, o Objective) (*Report, error) {
 	r := &Report{Totals: map[string]int{}}
 	causes := map[[2]string]*Cause{}
 	for _, l := range lines {
@@ -129,7 +129,7 @@
 
 // resultOf returns the result of a line's request and the cause if it was not served, or
 // empty strings if the line does not record the end of a request.
-func resultOf(l logstory.Line, o Objective) (result, cause string) {
+func resultOf(l explain.Line, o Objective) (result, cause string) {
 	switch l.Decision {
 	case "answered":
 		first := l.Duration("firstMs")
--- a/internal/cli/logreport/logreport_test.go
+++ b/internal/cli/logreport/logreport_test.go
@@ -11,8 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jasminecove/jasminecove/internal/cli/explain"
 	"github.com/jasminecove/jasminecove/internal/cli/logreport"
-	"github.com/jasminecove/jasminecove/internal/cli/logstory"
 )
 
 const log = `{"@message":"answered","@module":"vm-a","@timestamp":"2026-10-03T19:07:03.500Z","id":"r1","events":9,"firstMs":40,"pauseMs":30,"tookMs":900}
@@ -27,7 +27,7 @@
 
 func newReport(t *testing.T, text string) (*logreport.Report, error) {
 	t.Helper()
-	lines, err := logstory.Read(strings.NewReader(text))
+	lines, err := explain.Read(strings.NewReader(text))
 	assert.NilError(t, err)
 	return logreport.New(lines, logreport.Objective{FirstEvent: 500 * time.Millisecond, Pause: 200 * time.Millisecond})
 }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -24,7 +24,7 @@
 // Timing of the protocol.
 const (
 	// fastInterval is the ping interval while every VM is a target; slowInterval is the
-	// ping interval otherwise. A target that was heard of within the interval is not pinged.
+	// ping interval otherwise. A target from which a message came within the interval is not pinged.
 	fastInterval = 200 * clock.Millisecond
 	slowInterval = 1 * clock.Second
 	// heartbeatInterval is the interval between heartbeats to each target.
@@ -221,7 +221,7 @@
 	}
 }
 
-// ping pings each target that was not heard of within the interval. Heartbeats, and the
+// ping pings each target from which no message came within the interval. Heartbeats, and the
 // answers to their probes, make pings unnecessary as long as the interval is no shorter than
 // the heartbeats'.
 func (c *Core) ping(now clock.Time) {
--- a/internal/node/controlplane/load.go
+++ b/internal/node/controlplane/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -10,11 +11,12 @@
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
+// Timing of the exchange of the load.
 const (
-	// loadCallTimeout bounds a call to a collector, and avoidCollector is how long a collector
-	// that did not answer is not called.
+	// loadCallTimeout bounds a call to a collector.
 	loadCallTimeout = 400 * time.Millisecond
-	avoidCollector  = 3 * clock.Second
+	// avoidCollector is how long a collector that did not answer is not called.
+	avoidCollector = 3 * clock.Second
 	// exchangeInterval is the interval at which collectors fetch each other's sums.
 	exchangeInterval = 1 * clock.Second
 )
@@ -80,15 +82,22 @@
 	defer cancel()
 	reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Load{Load: r}})
 	if err != nil {
-		p.loads.mu.Lock()
-		p.loads.avoidUntil[vm] = p.cfg.Clock.Now().Add(avoidCollector)
-		p.loads.mu.Unlock()
+		p.avoid(vm)
 		p.log.Debug("failed to report the load", "vm", vm, "error", err)
 		return nil, err
 	}
 	return reply.Loads, nil
 }
 
+// avoid leaves a VM out of the choice of collectors for a while.
+func (p *Plane) avoid(vm string) {
+	now := p.cfg.Clock.Now()
+	p.loads.mu.Lock()
+	defer p.loads.mu.Unlock()
+	maps.DeleteFunc(p.loads.avoidUntil, func(_ string, until clock.Time) bool { return until <= now })
+	p.loads.avoidUntil[vm] = now.Add(avoidCollector)
+}
+
 // handleLoad answers a call to this VM as the collector of its data centre.
 func (p *Plane) handleLoad(vm string, r *fleetpb.ReportLoad) *fleetpb.Reply {
 	if r.Occupancy == nil {
--- a/internal/routing/catalog/ahead.go
+++ b/internal/routing/catalog/ahead.go
@@ -9,7 +9,7 @@
 )
 
 // The load that other VMs report is known with a delay, within which each of them sends more
-// requests. If all of them sent to the path that was best at their last news, its engines would
+// requests. If all of them sent to the path that was best by the last reports, its engines would
 // overflow while others stay empty. A VM therefore assumes that a random part of the requests
 // that its data centre has sent since then went before its own, each to the path that was best
 // by then.
@@ -27,7 +27,7 @@
 	rateHalfLife = 3 * clock.Second
 )
 
-// ahead distributes the requests that other VMs have probably sent since the last news.
+// ahead distributes the requests that other VMs have probably sent since the last reports.
 type ahead struct {
 	pool    string
 	perStep float64            // Requests in each step.
@@ -88,16 +88,16 @@
 	return sum
 }
 
-// unreported returns how many requests the VMs of the data centre have probably sent from which
-// nothing was heard yet, as after a start of all VMs: each as many as this one.
+// unreported returns how many requests have probably been sent by the VMs of the data centre that
+// have not reported yet, as after a start of all VMs: by each as many as by this one.
 func (c *Catalog) unreported(now clock.Time) float64 {
-	heard := 0
+	reported := 0
 	for _, v := range c.otherUsage {
 		if v.dataCentre == c.dataCentre && now.Sub(v.at) <= occupancyLifetime {
-			heard += v.vms
+			reported += v.vms
 		}
 	}
-	return float64(max(0, c.peerCount()-heard) * (1 + c.ownRequests))
+	return float64(max(0, c.peerCount()-reported) * (1 + c.ownRequests))
 }
 
 // sentAhead returns the load of the requests that went before one that drew a number in [0, 1).
--- a/internal/routing/catalog/unknown.go
+++ b/internal/routing/catalog/unknown.go
@@ -7,13 +7,13 @@
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
 )
 
-// unknownDeviations is the number of standard deviations of the requests since the last news for
+// unknownDeviations is the number of standard deviations of the requests since the last reports for
 // which engines keep memory free.
 const unknownDeviations = 2
 
 // unknown is what a VM doesn't know of the requests to the engines of one data centre.
 type unknown struct {
-	deviation float64 // Requests by which the number of those since the last news may exceed its mean.
+	deviation float64 // Requests by which the number of those since the last reports may exceed its mean.
 	taken     float64 // Share of the free memory that other data centres may take meanwhile.
 }
 
