--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -71,12 +71,6 @@
 	shortages    map[shortageKey]*shortage.Tracker
 }
 
-// shortageKey identifies a kind of shortage of a pool.
-type shortageKey struct {
-	pool string
-	full bool // All paths are full. Otherwise layers are missing.
-}
-
 // New returns a Handler.
 func New(cfg Config) *Handler {
 	h := &Handler{
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -13,7 +13,6 @@
 	"github.com/jasminecove/jasminecove/internal/request/eventstream"
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
-	"github.com/jasminecove/jasminecove/internal/request/shortage"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
@@ -427,45 +426,3 @@
 	}
 	return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "no path runs every layer").WithRetryAfter(s.retryAfter(false)).WithCause(cause)
 }
-
-// gapRemains reports whether layers will probably be missing for longer than the request would
-// wait, because other requests were refused for that before.
-func (s *stream) gapRemains(wait time.Duration) bool {
-	s.h.mu.Lock()
-	defer s.h.mu.Unlock()
-	return s.h.shortage(shortageKey{s.x.Forward.Pool.Name, false}).Remaining(s.h.cfg.Clock.Now()).Std() > wait
-}
-
-// retryAfter returns after what time the caller should return: when the shortage of paths has
-// probably ended. Callers wait for a part of the time that they have left.
-func (s *stream) retryAfter(full bool) clock.Duration {
-	const callerWaitFraction = 3
-	longest := remaining(s.x) / callerWaitFraction
-	random := s.h.random()
-	s.h.mu.Lock()
-	defer s.h.mu.Unlock()
-	return s.h.shortage(shortageKey{s.x.Forward.Pool.Name, full}).Refused(s.h.cfg.Clock.Now(), random, longest)
-}
-
-// shortage returns the tracker of a kind of shortage. The caller must hold h.mu.
-func (h *Handler) shortage(key shortageKey) *shortage.Tracker {
-	t := h.shortages[key]
-	if t == nil {
-		usual := shortage.GapDuration
-		if key.full {
-			usual = shortage.FullDuration
-		}
-		t = shortage.New(usual)
-		h.shortages[key] = t
-	}
-	return t
-}
-
-// recordAccepted records that a request found a path through a pool.
-func (h *Handler) recordAccepted(pool string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, full := range []bool{false, true} {
-		h.shortage(shortageKey{pool, full}).Accepted(h.cfg.Clock.Now())
-	}
-}
