Look only at the engines that hold the next layer when a path is chosen

A choice looked at all engines for each layer boundary and data centre, 2.1 ms at 943 engines, and a VM makes some five for a request (its own, and those assumed of others). Change: engines are listed by data centre and layer once a choice; the delay of a link is asked for once a boundary and not for each engine. The order of ties is by index.

--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -163,27 +163,58 @@
 	r       Request
 	engines []Engine
 	centres []string // Data centres; the request's own is first.
-	centre  []int    // Index of each engine's data centre.
-	byFrom  []int    // Indices of the usable engines, sorted by their first layer.
+	// holders lists the indices of the usable engines by data centre and layer: those that hold
+	// layer l in data centre c are holders[starts[k]:starts[k+1]] for k = c*Layers+l.
+	holders, starts []int
 }
 
 func newSearch(m Model, engines []Engine, r Request) *search {
-	s := &search{m: m, r: r, engines: engines, centres: []string{r.DataCentre}, centre: make([]int, len(engines))}
-	for i, e := range engines {
-		at := slices.Index(s.centres, e.DataCentre)
-		if at < 0 {
-			at = len(s.centres)
-			s.centres = append(s.centres, e.DataCentre)
+	s := &search{m: m, r: r, engines: engines, centres: []string{r.DataCentre}}
+	centre := make([]int, len(engines)) // Index of each usable engine's data centre, or -1.
+	for i := range engines {
+		e := &engines[i]
+		if e.To <= e.From || e.To > m.Layers || r.Exclude[e.ID] {
+			centre[i] = -1
+			continue
 		}
-		s.centre[i] = at
-		if e.To > e.From && !r.Exclude[e.ID] {
-			s.byFrom = append(s.byFrom, i)
+		c := slices.Index(s.centres, e.DataCentre)
+		if c < 0 {
+			c = len(s.centres)
+			s.centres = append(s.centres, e.DataCentre)
 		}
+		centre[i] = c
 	}
-	slices.SortFunc(s.byFrom, func(a, b int) int { return engines[a].From - engines[b].From })
+	s.indexHolders(centre)
 	return s
 }
 
+// indexHolders sets holders and starts, given the index of each engine's data centre.
+func (s *search) indexHolders(centre []int) {
+	s.starts = make([]int, len(s.centres)*s.m.Layers+1)
+	s.eachHolder(centre, func(k, _ int) { s.starts[k+1]++ })
+	for k := 1; k < len(s.starts); k++ {
+		s.starts[k] += s.starts[k-1]
+	}
+	s.holders = make([]int, s.starts[len(s.starts)-1])
+	next := slices.Clone(s.starts)
+	s.eachHolder(centre, func(k, engine int) {
+		s.holders[next[k]] = engine
+		next[k]++
+	})
+}
+
+// eachHolder calls add for each layer of each usable engine, with the index of the layer in starts.
+func (s *search) eachHolder(centre []int, add func(k, engine int)) {
+	for i, c := range centre {
+		if c < 0 {
+			continue
+		}
+		for l := s.engines[i].From; l < s.engines[i].To; l++ {
+			add(c*s.m.Layers+l, i)
+		}
+	}
+}
+
 // best finds the cheapest path by dynamic programming over layer boundaries and data
 // centres. If bounded is set, it skips engines without enough capacity. If crossing is not set,
 // paths stay within one data centre.
@@ -213,42 +244,48 @@
 	return s.path(table, end), true
 }
 
-// extend extends the partial path at a boundary by every engine that holds the next
-// layer.
+// extend extends the partial path at a boundary of a data centre by every engine that holds the
+// next layer.
 func (s *search) extend(table []partialPath, known []bool, at, c int, bounded, crossing bool) {
+	for to := range s.centres {
+		switch {
+		case at == 0 || to == c:
+			s.extendTo(table, known, at, c, to, 0, bounded)
+		case crossing:
+			if wait := s.linkWait(c, to); wait <= maxLinkWaitMs {
+				s.extendTo(table, known, at, c, to, wait, bounded)
+			}
+		}
+	}
+}
+
+// extendTo extends the partial path by the engines of one data centre, over a link with a queueing
+// delay if that is another one.
+func (s *search) extendTo(table []partialPath, known []bool, at, c, to int, wait float64, bounded bool) {
 	n := len(s.centres)
 	here := table[at*n+c]
-	for _, i := range s.byFrom {
-		e := &s.engines[i]
-		if e.From > at {
-			break
+	var linkFirst, linkToken float64
+	if at > 0 {
+		linkFirst, linkToken = s.m.HopMs, s.m.HopMs
+		if to != c {
+			linkFirst += wait + transferCostFactor*s.m.CrossMsPerToken*float64(s.r.Prompt)
+			linkToken += transferCostFactor * s.m.CrossMsPerToken
 		}
-		if e.To <= at || at == 0 && s.r.AllowedFirst != nil && !s.r.AllowedFirst[e.ID] || bounded && !s.fits(e, at, e.To, at == 0) {
-			continue
-		}
-		if at > 0 && s.centre[i] != c && !crossing {
+	}
+	k := to*s.m.Layers + at
+	for _, i := range s.holders[s.starts[k]:s.starts[k+1]] {
+		e := &s.engines[i]
+		if at == 0 && s.r.AllowedFirst != nil && !s.r.AllowedFirst[e.ID] || bounded && !s.fits(e, at, e.To, at == 0) {
 			continue
 		}
 		first, token := s.estimateMs(e, at, e.To)
-		if at > 0 {
-			first += s.m.HopMs
-			token += s.m.HopMs
-			if s.centre[i] != c {
-				wait := s.linkWait(c, s.centre[i])
-				if wait > maxLinkWaitMs {
-					continue
-				}
-				first += wait
-				first += transferCostFactor * s.m.CrossMsPerToken * float64(s.r.Prompt)
-				token += transferCostFactor * s.m.CrossMsPerToken
-			}
-		}
+		first, token = first+linkFirst, token+linkToken
 		next := partialPath{first: here.first + first, token: here.token + token, engine: i, from: at, previous: c, hops: here.hops + 1}
 		next.cost = here.cost + max(1, e.Slowdown)*(first+token*float64(s.r.Answer))
-		if at == 0 && s.centre[i] != 0 {
+		if at == 0 && to != 0 {
 			next.cost += remoteEntryCostMs
 		}
-		j := e.To*n + s.centre[i]
+		j := e.To*n + to
 		if !known[j] || next.cost < table[j].cost {
 			table[j], known[j] = next, true
 		}
--- a/internal/routing/chain/chain_test.go
+++ b/internal/routing/chain/chain_test.go
@@ -85,14 +85,41 @@
 	}
 }
 
-func BenchmarkChoose(b *testing.B) {
+// benchmarkEngines returns engines of five data centres, each with chains of 4 to 11 engines.
+func benchmarkEngines(n int) []chain.Engine {
 	var engines []chain.Engine
-	for i := range 39 {
-		at := (i % 13) * 6
-		engines = append(engines, engine(fmt.Sprint("e", i), fmt.Sprint(i/13), at, min(80, at+8)))
+	for chains := 0; len(engines) < n; chains++ {
+		hops := 4 + chains%8
+		for i := range hops {
+			e := engine(fmt.Sprint("e", len(engines)), fmt.Sprint(chains%5), i*80/hops, (i+1)*80/hops)
+			e.StepFactor = float64(hops)
+			engines = append(engines, e)
+		}
 	}
-	for b.Loop() {
-		_, _ = chain.Choose(model, engines, typicalRequest)
+	return engines[:n]
+}
+
+func BenchmarkChoose(b *testing.B) {
+	r := typicalRequest
+	r.DataCentre = "0"
+	for _, n := range []int{39, 216, 943} {
+		engines := benchmarkEngines(n)
+		full := slices.Clone(engines)
+		for i, e := range full {
+			if e.DataCentre == r.DataCentre {
+				full[i].Used = e.Capacity
+			}
+		}
+		b.Run(fmt.Sprint(n, "/own data centre"), func(b *testing.B) {
+			for b.Loop() {
+				_, _ = chain.Choose(model, engines, r)
+			}
+		})
+		b.Run(fmt.Sprint(n, "/own data centre full"), func(b *testing.B) {
+			for b.Loop() {
+				_, _ = chain.Choose(model, full, r)
+			}
+		})
 	}
 }
 
