Learn of an upstream without a look at all others

Each VM learns of all upstreams one by one then, and for each one that joins it sorted all that it knows by id, to end an earlier one at the same address. Change: the registry keeps the ids by address, and the sorted list until it changes. Ruled out: the checks of saved upstreams (32 at a time, some ms each); the choice of paths alone.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -47,6 +47,8 @@
 type Registry struct {
 	vm        string
 	upstreams map[string]*Upstream
+	byAddress map[string][]string // IDs of the live upstreams at each address.
+	live      []*Upstream         // Result of All; nil after a change.
 	version   uint64
 	maxLease  clock.Duration
 	hash      uint64 // Of the live upstreams; valid if hashed is set.
@@ -63,7 +65,7 @@
 
 // New returns an empty registry for a VM.
 func New(vm string, opts ...Option) *Registry {
-	r := &Registry{vm: vm, upstreams: map[string]*Upstream{}, maxLease: MaxLease}
+	r := &Registry{vm: vm, upstreams: map[string]*Upstream{}, byAddress: map[string][]string{}, maxLease: MaxLease}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -153,7 +155,7 @@
 	}
 	a := proto.CloneOf(u.Announcement)
 	a.Sequence = d.Sequence
-	r.upstreams[d.Id] = &Upstream{Announcement: a, Home: d.Home, ended: true, published: d.Sequence, expires: now.Add(tombstoneTTL)}
+	r.set(&Upstream{Announcement: a, Home: d.Home, ended: true, published: d.Sequence, expires: now.Add(tombstoneTTL)})
 	r.version++
 	r.hashed = false
 	return true
@@ -165,10 +167,29 @@
 	if u != nil && !u.ended {
 		next.FirstSeen = u.FirstSeen
 	}
-	r.upstreams[a.Id] = next
+	r.set(next)
 	return next
 }
 
+// set replaces the entry of an upstream.
+func (r *Registry) set(u *Upstream) {
+	previous := r.upstreams[u.Id]
+	r.upstreams[u.Id], r.live = u, nil
+	wasLive := previous != nil && !previous.ended
+	if wasLive && !u.ended && previous.Address == u.Address {
+		return
+	}
+	if wasLive {
+		ids := slices.DeleteFunc(r.byAddress[previous.Address], func(id string) bool { return id == u.Id })
+		if r.byAddress[previous.Address] = ids; len(ids) == 0 {
+			delete(r.byAddress, previous.Address)
+		}
+	}
+	if !u.ended {
+		r.byAddress[u.Address] = append(r.byAddress[u.Address], u.Id)
+	}
+}
+
 // ExtendLeases extends the leases kept by this VM by the time during which it could not receive
 // renewals.
 func (r *Registry) ExtendLeases(d clock.Duration) {
@@ -243,16 +264,31 @@
 	return u, true
 }
 
-// All returns the live upstreams, sorted by id.
+// All returns the live upstreams, sorted by id. The caller must not modify the slice.
 func (r *Registry) All() []*Upstream {
-	live := make([]*Upstream, 0, len(r.upstreams))
+	if r.live != nil {
+		return r.live
+	}
+	r.live = make([]*Upstream, 0, len(r.upstreams))
 	for _, u := range r.upstreams {
 		if !u.ended {
-			live = append(live, u)
+			r.live = append(r.live, u)
 		}
 	}
-	slices.SortFunc(live, func(a, b *Upstream) int { return strings.Compare(a.Id, b.Id) })
-	return live
+	slices.SortFunc(r.live, func(a, b *Upstream) int { return strings.Compare(a.Id, b.Id) })
+	return r.live
+}
+
+// At returns the live upstreams at an address, sorted by id. There is more than one while the
+// successor of a process that ended is known and the end is not.
+func (r *Registry) At(address string) []*Upstream {
+	ids := r.byAddress[address]
+	out := make([]*Upstream, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, r.upstreams[id])
+	}
+	slices.SortFunc(out, func(a, b *Upstream) int { return strings.Compare(a.Id, b.Id) })
+	return out
 }
 
 // DigestOf returns a digest of an upstream for other VMs, or nil when it is unknown.
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -118,3 +118,31 @@
 	assert.Equal(t, a.Hash(), uint64(0))
 	assert.Equal(t, b.Hash(), uint64(0))
 }
+
+// TestAt checks that the upstreams at an address follow each change: another address, a
+// successor at the same one, an end and a return.
+func TestAt(t *testing.T) {
+	r := registry.New("vm1")
+	at := func(address string) (ids []string) {
+		for _, u := range r.At(address) {
+			ids = append(ids, u.Id)
+		}
+		return ids
+	}
+	announce := func(id, address string, sequence uint64) {
+		r.Announce(0, &upstreampb.Announcement{Id: id, Address: address, Sequence: sequence, LeaseMs: 1000})
+	}
+	announce("e2", "x:1", 1)
+	announce("e1", "x:1", 1)
+	announce("e1", "x:1", 2)
+	assert.DeepEqual(t, at("x:1"), []string{"e1", "e2"})
+	announce("e1", "x:2", 3)
+	assert.DeepEqual(t, at("x:1"), []string{"e2"})
+	assert.DeepEqual(t, at("x:2"), []string{"e1"})
+	r.End(0, "e1")
+	assert.Equal(t, len(at("x:2")), 0)
+	announce("e1", "x:2", 100)
+	assert.DeepEqual(t, at("x:2"), []string{"e1"})
+	r.Expire(5000)
+	assert.Equal(t, len(at("x:1"))+len(at("x:2"))+len(r.All()), 0)
+}
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -4,7 +4,6 @@
 package catalog
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -195,8 +194,8 @@
 // supersede removes upstreams that started earlier at the address of one that has just
 // joined, because their process no longer exists.
 func (c *Catalog) supersede(current *registry.Upstream, change *Change) {
-	for _, u := range c.registry.All() {
-		if u.Id != current.Id && u.Address == current.Address && u.StartedMs < current.StartedMs {
+	for _, u := range c.registry.At(current.Address) {
+		if u.Id != current.Id && u.StartedMs < current.StartedMs {
 			c.registry.End(c.clock.Now(), u.Id)
 			delete(c.health, u.Id)
 			change.Ended = append(change.Ended, u.Id)
@@ -316,11 +315,13 @@
 }
 
 func (c *Catalog) members(service string) []*registry.Upstream {
-	all := slices.DeleteFunc(c.registry.All(), func(u *registry.Upstream) bool { return u.Name != service })
-	for i, u := range all {
-		all[i] = c.withPlacement(u)
+	var out []*registry.Upstream
+	for _, u := range c.registry.All() {
+		if u.Name == service {
+			out = append(out, c.withPlacement(u))
+		}
 	}
-	return all
+	return out
 }
 
 func (c *Catalog) notify(ch Change) {
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -1,8 +1,11 @@
 package catalog_test
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
@@ -393,3 +396,31 @@
 	_, err = choose()
 	assert.Equal(t, err, chain.ErrMissingLayers)
 }
+
+// TestJoinInLargeFleet checks that learning of an upstream costs no more if many others are known.
+// After a start of all VMs each of them learns of all upstreams, one by one.
+func TestJoinInLargeFleet(t *testing.T) {
+	c := catalog.New("a", clock.NewManual(1_000_000), clock.Hour, nil)
+	joined := 0
+	join := func(n int) (bytesEach uint64) {
+		digests := make([]*fleetpb.Digest, n)
+		for i := range digests {
+			joined++
+			data, err := proto.Marshal(&upstreampb.Announcement{Id: fmt.Sprint("e", joined), Name: "crew", Address: fmt.Sprint("x:", joined), Sequence: 1})
+			assert.NilError(t, err)
+			digests[i] = &fleetpb.Digest{Id: fmt.Sprint("e", joined), Sequence: 1, Home: "b", Announcement: data}
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for _, d := range digests {
+			c.TakeDigests([]*fleetpb.Digest{d})
+		}
+		runtime.ReadMemStats(&after)
+		return (after.TotalAlloc - before.TotalAlloc) / uint64(n)
+	}
+	join(500)
+	few := join(200)
+	join(7000)
+	many := join(200)
+	assert.Assert(t, many < 2*few, "%d bytes for one upstream beside 500, %d beside 7700", few, many)
+}
--- a/internal/routing/catalog/health.go
+++ b/internal/routing/catalog/health.go
@@ -221,10 +221,8 @@
 func (c *Catalog) ByAddress(address string) (string, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, u := range c.registry.All() {
-		if u.Address == address {
-			return u.Id, true
-		}
+	if at := c.registry.At(address); len(at) > 0 {
+		return at[0].Id, true
 	}
 	return "", false
 }
--- a/internal/routing/catalog/herd_test.go
+++ b/internal/routing/catalog/herd_test.go
@@ -49,7 +49,7 @@
 }
 
 // newHerd makes a herd of data centres with so many VMs each, and a fast and two slow chains.
-func newHerd(t *testing.T, seed uint64, vms int, dataCentres ...string) *herd {
+func newHerd(t testing.TB, seed uint64, vms int, dataCentres ...string) *herd {
 	t.Helper()
 	h := &herd{
 		clock: clock.NewManual(1_000_000), src: rng.New(seed), collector: map[string]*loadsum.Collector{}, used: map[string]float64{}, capacity: map[string]float64{},
@@ -199,3 +199,25 @@
 	assert.Equal(t, h.refused, 0)
 	assert.Assert(t, h.overload <= 1, "an engine held %.2f of its memory", h.overload)
 }
+
+// BenchmarkChoosePath chooses paths on one of the VMs of a large fleet, whose load changes twice a
+// second.
+func BenchmarkChoosePath(b *testing.B) {
+	for _, chains := range []int{15, 180} { // 80 and 960 engines.
+		b.Run(fmt.Sprint(chains, " chains"), func(b *testing.B) {
+			h := newHerd(b, 1, 10, "x")
+			for range chains {
+				h.addChain("x", "fast", 4, 45_000)
+				h.addChain("y", "slow", 6, 32_000)
+			}
+			h.play(2*clock.Second, 100)
+			b.ResetTimer()
+			for i := range b.N {
+				if i%5 == 0 {
+					h.clock.Advance(100)
+				}
+				h.request(h.clock.Now())
+			}
+		})
+	}
+}
