--- a/internal/routing/catalog/ahead.go
+++ b/internal/routing/catalog/ahead.go
@@ -111,8 +111,11 @@
 	if c.ahead.pool != p.Name || c.ahead.perStep != perStep {
 		c.ahead = ahead{pool: p.Name, perStep: perStep}
 	}
-	for len(c.ahead.steps) < steps && !c.ahead.full {
-		c.addStep(p, m, r, int(perStep+0.5))
+	if len(c.ahead.steps) < steps && !c.ahead.full {
+		engines := c.engines(p, nil, assumption{})
+		for len(c.ahead.steps) < steps && !c.ahead.full {
+			c.addStep(p, m, engines, r, int(perStep+0.5))
+		}
 	}
 	if len(c.ahead.steps) == 0 {
 		return nil
@@ -121,7 +124,7 @@
 }
 
 // addStep adds a step of some requests of the usual size, which all take the best path.
-func (c *Catalog) addStep(p *tables.Pool, m chain.Model, r chain.Request, requests int) {
+func (c *Catalog) addStep(p *tables.Pool, m chain.Model, engines []chain.Engine, r chain.Request, requests int) {
 	var before map[string]usage
 	if n := len(c.ahead.steps); n > 0 {
 		before = c.ahead.steps[n-1]
@@ -130,7 +133,7 @@
 	if usual.Prompt == 0 {
 		usual.Prompt, usual.Answer = r.Prompt, r.Answer
 	}
-	path, err := chain.Choose(m, c.engines(p, nil, assumption{additional: before}), usual)
+	path, err := chain.Choose(m, withLoad(engines, before), usual)
 	if err != nil {
 		c.ahead.full = true
 		return
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
@@ -60,12 +61,13 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	best, bestCost, bestPaused := Choice{}, 0.0, false
+	reports := c.validReports(now)
 	for _, u := range c.view(p) {
 		if u.Leaving || exclude[u.Id] {
 			continue
 		}
 		slots := max(1, float64(u.Slots))
-		cost := (float64(c.usageOf(u.Id, now).requests)+1)/slots + faultCost*c.faultShare(u.Id)
+		cost := (float64(c.usageOf(u.Id, reports, 1).requests)+1)/slots + faultCost*c.faultShare(u.Id)
 		if u.DataCentre != home {
 			cost += remoteCost / slots
 		}
@@ -91,7 +93,7 @@
 	now := c.clock.Now()
 	m := chainModel(p.Engine)
 	m.LinkWaitMs = func(a, b string) float64 { return c.linkWait(linkBetween(a, b), now) }
-	path, err = chain.Choose(m, c.engines(p, r.Exclude, assumption{additional: c.sentAhead(p, m, r, now)}), r)
+	path, err = chain.Choose(m, withLoad(c.engines(p, r.Exclude, assumption{}), c.sentAhead(p, m, r, now)), r)
 	if errors.Is(err, chain.ErrFull) {
 		// What others have sent is only assumed, and may be no reason to refuse a request.
 		known := c.engines(p, r.Exclude, assumption{senders: 1})
@@ -112,9 +114,29 @@
 
 // assumption is what a choice of a path assumes.
 type assumption struct {
-	additional map[string]usage // Load beyond what VMs reported, by upstream.
-	senders    int              // Number of data centres with requests for others; 0 stands for all.
-	paused     bool             // Paused engines, and those that have just begun to leave, are usable.
+	senders int  // Number of data centres with requests for others; 0 stands for all.
+	paused  bool // Paused engines, and those that have just begun to leave, are usable.
+}
+
+// withLoad returns engines with load beyond what VMs reported, by upstream.
+func withLoad(engines []chain.Engine, additional map[string]usage) []chain.Engine {
+	if len(additional) == 0 {
+		return engines
+	}
+	out := slices.Clone(engines)
+	for i := range out {
+		e := &out[i]
+		u, loaded := additional[e.ID]
+		if !loaded {
+			continue
+		}
+		e.Used += float64(u.tokens)
+		e.Requests += u.requests
+		if e.From == 0 {
+			e.FirstHopRequests += u.requests
+		}
+	}
+	return out
 }
 
 // engines returns the pool's engines that a path may use, which are never dead ones.
@@ -124,7 +146,7 @@
 		a.senders = math.MaxInt
 	}
 	unknowns, usualTokens := c.unknownOf(a.senders, now), float64(p.Engine.DefaultPromptTokens+p.Engine.DefaultAnswerTokens)
-	all := c.view(p)
+	all, reports := c.view(p), c.validReports(now)
 	out := make([]chain.Engine, 0, len(all))
 	for _, u := range all {
 		if u.LayerTo <= u.LayerFrom || exclude[u.Id] || c.isDead(u.Id, now) || !a.paused && (u.Leaving || c.paused(u.Id, now)) || c.left(u, now) {
@@ -134,8 +156,7 @@
 		if !ok {
 			continue
 		}
-		known := c.usageAfter(u.Id, now, c.remaining(u.Id, now))
-		used := known.plus(a.additional[u.Id])
+		used := c.usageOf(u.Id, reports, c.remaining(u.Id, now))
 		from, to, pace := int(u.LayerFrom), int(u.LayerTo), c.paceOf(u.Id, now)
 		e := chain.Engine{
 			ID: u.Id, Address: u.Address, DataCentre: u.DataCentre, From: from, To: to,
@@ -143,7 +164,7 @@
 			Capacity: capacityOf(p.Engine, k, to-from), Used: float64(used.tokens), Requests: used.requests,
 		}
 		missing := unknowns[u.DataCentre]
-		e.Margin = missing.deviation*usualTokens*float64(to-from) + missing.taken*max(0, e.Capacity-float64(known.tokens))
+		e.Margin = missing.deviation*usualTokens*float64(to-from) + missing.taken*max(0, e.Capacity-e.Used)
 		if from == 0 {
 			e.FirstHopRequests = used.requests
 		}
--- a/internal/routing/catalog/occupancy.go
+++ b/internal/routing/catalog/occupancy.go
@@ -177,31 +177,41 @@
 	return out
 }
 
-// usageOf returns the load of all VMs' requests on an upstream, with an estimate for VMs without
-// a valid report.
-func (c *Catalog) usageOf(id string, now clock.Time) usage {
-	return c.usageAfter(id, now, 1)
+// reports are the valid reports of the load of other VMs.
+type reports struct {
+	sources []*otherUsage
+	// unreported is the load that VMs without a valid report are assumed to cause, as a share of
+	// that of the others: they are assumed to send as much as these on average.
+	unreported float64
 }
 
-// usageAfter is usageOf if only a share of the requests that other VMs reported remains.
-func (c *Catalog) usageAfter(id string, now clock.Time, remaining float64) usage {
-	var own, others usage
-	if h := c.ownUsage[id]; h != nil {
-		own = *h
-	}
-	reporting := 1
+// validReports returns the valid reports of other VMs, and forgets the others.
+func (c *Catalog) validReports(now clock.Time) reports {
+	r, reporting := reports{sources: make([]*otherUsage, 0, len(c.otherUsage))}, 1
 	for source, v := range c.otherUsage {
 		if now.Sub(v.at) > occupancyLifetime {
 			delete(c.otherUsage, source)
 			continue
 		}
-		others = others.plus(v.byUpstream[id])
+		r.sources = append(r.sources, v)
 		reporting += v.vms
 	}
-	others = others.times(remaining)
-	// VMs without a valid report are assumed to send as much as the others on average.
-	missing := max(0, c.vmCount()-reporting)
-	return own.plus(others).plus(own.plus(others).times(float64(missing) / float64(reporting)))
+	r.unreported = float64(max(0, c.vmCount()-reporting)) / float64(reporting)
+	return r
+}
+
+// usageOf returns the load of all VMs' requests on an upstream, if a share of the requests that
+// other VMs reported remains.
+func (c *Catalog) usageOf(id string, r reports, remaining float64) usage {
+	var own, others usage
+	if h := c.ownUsage[id]; h != nil {
+		own = *h
+	}
+	for _, v := range r.sources {
+		others = others.plus(v.byUpstream[id])
+	}
+	all := own.plus(others.times(remaining))
+	return all.plus(all.times(r.unreported))
 }
 
 func (u usage) plus(v usage) usage {
--- a/internal/routing/catalog/vacate.go
+++ b/internal/routing/catalog/vacate.go
@@ -62,5 +62,5 @@
 func (c *Catalog) Requests(id string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.usageOf(id, c.clock.Now()).requests
+	return c.usageOf(id, c.validReports(c.clock.Now()), 1).requests
 }
