Tell callers whose request engines refused that capacity is short, not that layers are missing

The refusals also count as a gap. Change: only missing layers, or no upstream, are a gap; other refusals of a stream are overloaded. Ruled out: a lack of layers (no engine was lost then, MISSING LAYERS stands in no line). Measured: TestRefusedByEngines fails before (noUpstream) and passes now; the package's tests pass.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -13,6 +13,7 @@
 	"github.com/jasminecove/jasminecove/internal/request/eventstream"
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
+	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
@@ -421,8 +422,10 @@
 			return refusal.New(refusal.DeadlinePassed, http.StatusGatewayTimeout, "the answer was not whole in time").WithOutcome(refusal.Unknown).WithCause(cause)
 		}
 		return refusal.New(refusal.UpstreamFailed, http.StatusBadGateway, "the answer could not be completed").WithOutcome(refusal.Unknown).WithCause(cause)
+	case errors.Is(cause, chain.ErrMissingLayers), errors.Is(cause, catalog.ErrNoUpstream):
+		return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "no path runs every layer").WithRetryAfter(s.retryAfter(false)).WithCause(cause)
 	case errors.Is(cause, chain.ErrFull):
 		return refusal.New(refusal.Overloaded, http.StatusServiceUnavailable, "every path is full").WithRetryAfter(s.retryAfter(true)).WithCause(cause)
 	}
-	return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "no path runs every layer").WithRetryAfter(s.retryAfter(false)).WithCause(cause)
+	return refusal.New(refusal.Overloaded, http.StatusServiceUnavailable, "the upstreams refused the request").WithRetryAfter(s.retryAfter(true)).WithCause(cause)
 }
--- a/internal/request/forward/trouble_test.go
+++ b/internal/request/forward/trouble_test.go
@@ -157,3 +157,21 @@
 	status, _, _ = ask()
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// TestRefusedByEngines has engines refuse all requests, as full ones do after a start of all VMs,
+// whose repeats are used up. The caller is told that the request has not run, for want of
+// capacity, and to return as after other shortages of capacity, which are shorter than gaps.
+func TestRefusedByEngines(t *testing.T) {
+	f := newFixture(t)
+	f.retries.Allowance = 1
+	for _, id := range []string{"e1", "e2", "e3"} {
+		f.start(t, id, "crew", 0, 8, serveNotRun)
+	}
+	resp, body, err := f.do(t, "POST", "/draft/1", "prompt", "Jasminecove-Tokens", "10,5")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(body, ":overloaded\"") && strings.Contains(body, `"outcome":"notRun"`), body)
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds <= 2, "%v s", seconds)
+}
