Give first chains memory for all requests that their first engine accepts

Its data centres have few fast engines; two chains with memory for 96 requests left a quarter of the memory to engines that double some layers, so that the others limit the requests: 241,000 tokens in the test's data centre, where an even split leaves 352,000. Change: a first chain of average speed has memory for all slots of its first engine, in place of half. What closes gaps or doubles layers later keeps memory for a quarter of them, as before. A plan that finds no engines for all gaps shifts the ranges at those where that goes, and fills the rest (TestPlanClosesAllGapsAtOnce, whose data centre has longer chains now, found no plan otherwise). TestFirstPlanMemory fails before.

--- a/internal/routing/layers/cascade.go
+++ b/internal/routing/layers/cascade.go
@@ -1,15 +1,21 @@
 package layers
 
-// cascade closes a gap by shifting the ranges of the engines on both sides of it: the engine
+// cascade closes the first gap that cascadeGap can close, and reports whether there was one.
+func (p *repair) cascade(tokens float64) bool {
+	for from, to := p.nextGap(0); from < to; from, to = p.nextGap(to) {
+		if p.cascadeGap(from, to, tokens) {
+			return true
+		}
+	}
+	return false
+}
+
+// cascadeGap closes a gap by shifting the ranges of the engines on both sides of it: the engine
 // next to the gap takes over layers of it and, if its memory does not suffice for all of them,
 // leaves its layers at the other end to its neighbour, and so on. Each engine gets at most the
-// layers that leave memory for the given number of tokens. cascade reports whether it closed
+// layers that leave memory for the given number of tokens. cascadeGap reports whether it closed
 // the gap; otherwise it changes nothing.
-func (p *repair) cascade(tokens float64) bool {
-	from, to := p.firstGap()
-	if from == to {
-		return false
-	}
+func (p *repair) cascadeGap(from, to int, tokens float64) bool {
 	left, right := p.leftOf(from), p.rightOf(to)
 	need := to - from
 	leftSlack, rightSlack := make([]int, len(left)), make([]int, len(right))
@@ -70,10 +76,11 @@
 	return false
 }
 
-// firstGap returns the first range that no engine of the group holds.
-func (p *repair) firstGap() (from, to int) {
+// nextGap returns the first range from a layer on that no engine of the group holds. It is empty
+// if there is none.
+func (p *repair) nextGap(after int) (from, to int) {
 	own := countHolders(p.m, p.engines)
-	for from < p.m.Layers && own[from] > 0 {
+	for from = after; from < p.m.Layers && own[from] > 0; {
 		from++
 	}
 	for to = from; to < p.m.Layers && own[to] == 0; {
--- a/internal/routing/layers/chains.go
+++ b/internal/routing/layers/chains.go
@@ -9,9 +9,10 @@
 
 // Parameters of the first assignment.
 const (
-	// chainSlotsShare is the share of the requests that a chain's first engine accepts for
-	// which the chain has memory, if it is as fast as the group's engines on average.
-	chainSlotsShare = 0.5
+	// repairSlotsShare is the share of the requests that a chain's first engine accepts for which
+	// engines keep memory that close gaps or double layers. A chain of average speed of the first
+	// plan has memory for all of them, so that some is left after the loss of engines.
+	repairSlotsShare = 0.25
 	// minChainTokens is the least memory of a chain, in tokens.
 	minChainTokens = 30_000
 	// defaultRequestTokens and defaultSlots apply where the tables state none.
@@ -143,9 +144,13 @@
 	if request == 0 {
 		request = defaultRequestTokens
 	}
-	return max(minChainTokens, chainSlotsShare*float64(slots)*request)
+	return max(minChainTokens, float64(slots)*request)
 }
 
+// repairTokens returns the memory that engines keep for requests, if possible, when they close gaps
+// or double layers, in tokens.
+func (m Model) repairTokens() float64 { return repairSlotsShare * m.chainTokens() }
+
 // layersFor returns the largest number of layers that an engine may hold beside memory for the
 // given number of tokens.
 func (m Model) layersFor(memoryMB, tokens float64) int {
--- a/internal/routing/layers/layers_test.go
+++ b/internal/routing/layers/layers_test.go
@@ -92,6 +92,29 @@
 	}
 }
 
+// TestFirstPlanMemory checks that the first plan of a data centre with few fast engines leaves
+// memory for a load of 55 requests a second, which its chains keep for 2.7 s each, and for as
+// many again, which it must serve while others have lost engines.
+func TestFirstPlanMemory(t *testing.T) {
+	const perSecond, seconds, reserve = 55, 2.7, 2
+	var engines []layers.Engine
+	for mb, n := range map[float64]int{36000: 3, 21600: 9, 14400: 13} {
+		for i := range n {
+			engines = append(engines, layers.Engine{ID: fmt.Sprintf("%.0f-%d", mb, i), DataCentre: "a", MemoryMB: mb, StepFactor: stepFactors[mb], Settled: true})
+		}
+	}
+	applyOrders(t, engines, layers.Plan(model, engines, false))
+	for layer := range model.Layers {
+		tokens := 0.0
+		for _, e := range engines {
+			if e.From <= layer && layer < e.To {
+				tokens += model.Capacity(e.MemoryMB, e.To-e.From)
+			}
+		}
+		assert.Assert(t, tokens >= reserve*perSecond*seconds*model.RequestTokens, "layer %d: memory for %.0f tokens", layer, tokens)
+	}
+}
+
 // TestPlanKeepsLayersAfterLoss removes each engine in turn and checks that no order takes
 // layers away from another engine, whose requests in flight would lose their caches.
 func TestPlanKeepsLayersAfterLoss(t *testing.T) {
--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -15,6 +15,7 @@
 	maxHolders int            // See fillGaps.
 	reasons    map[int]string // Reason of the order for each changed engine, by index.
 	idleReason string         // Reason of orders that only add capacity.
+	idleTokens float64        // Memory that an idle engine keeps for requests, in tokens, if possible.
 }
 
 // closeGaps covers layers that no engine of the group holds: with idle engines, and with engines
@@ -39,6 +40,7 @@
 	if q.hasGap() && p.growAlways {
 		q = p.clone()
 		q.cascadeGaps()
+		q.fillGaps(maxHolders)
 	}
 	if !q.hasGap() {
 		*p = *q
@@ -50,7 +52,7 @@
 
 // cascadeGaps closes gaps by cascades, with as much memory for requests as possible.
 func (p *repair) cascadeGaps() {
-	for tokens := p.m.chainTokens() / 2; p.hasGap(); tokens = max(minGapTokens, tokens/2) {
+	for tokens := p.m.repairTokens(); p.hasGap(); tokens = max(minGapTokens, tokens/2) {
 		for p.cascade(tokens) {
 		}
 		if tokens == minGapTokens {
@@ -64,7 +66,7 @@
 // closed even if that leaves little memory for requests, but with as much as possible.
 func (p *repair) fillGaps(maxHolders int) {
 	p.maxHolders = maxHolders
-	for tokens := p.m.chainTokens() / 2; ; tokens = max(minGapTokens, tokens/2) {
+	for tokens := p.m.repairTokens(); ; tokens = max(minGapTokens, tokens/2) {
 		for p.fillGap(tokens) {
 		}
 		if tokens == minGapTokens {
@@ -196,7 +198,7 @@
 		if e.To > e.From || !e.Settled || e.New {
 			continue
 		}
-		width := p.m.layersFor(e.MemoryMB, p.m.chainTokens()/2)
+		width := p.m.layersFor(e.MemoryMB, p.idleTokens)
 		if width == 0 {
 			continue
 		}
