Leave a killed leader as soon as the next one is known

A call that waits for the killed leader's reply ends after 1 s; the next replica may still name that leader, and so on. Change: a stamp of a new term ends attempts at other VMs, which go on with the replicas; a VM that did not reply is not taken as the leader again on another replica's word within the call. Ruled out: slow links: attempts are not ended by further stamps of the same leader.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -55,19 +55,20 @@
 	fleet      Fleet
 	leaderHint atomic.Value // Presumed leader's VM, a string; "" if unknown.
 
-	mu   sync.Mutex
-	wake chan struct{} // Closed by the next RetryNow.
+	mu      sync.Mutex
+	wake    chan struct{} // Closed by the next RetryNow.
+	elected chan struct{} // Closed by LeaderElected.
 }
 
 // New returns a client. local returns the VM's own replica, or nil.
 func New(vm string, clk clock.Clock, local func() *replica.Replica, fleet Fleet) *Client {
-	c := &Client{vm: vm, clock: clk, local: local, fleet: fleet, wake: make(chan struct{})}
+	c := &Client{vm: vm, clock: clk, local: local, fleet: fleet, wake: make(chan struct{}), elected: make(chan struct{})}
 	c.leaderHint.Store("")
 	return c
 }
 
 // RetryNow makes calls that wait between two attempts retry at once. It is called
-// when a new leader becomes known.
+// when a leader is known to be alive.
 func (c *Client) RetryNow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -75,10 +76,21 @@
 	c.wake = make(chan struct{})
 }
 
-func (c *Client) retrySignal() <-chan struct{} {
+// LeaderElected makes all calls retry at once, also those that wait for the reply of another
+// VM, which may be the earlier leader and dead. It is called when a new leader is known.
+func (c *Client) LeaderElected() {
+	c.RetryNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.wake
+	close(c.elected)
+	c.elected = make(chan struct{})
+}
+
+// signals returns the channels that RetryNow and LeaderElected close.
+func (c *Client) signals() (retry, elected <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wake, c.elected
 }
 
 // Propose commits a command.
@@ -138,17 +150,18 @@
 	delay := initialRetryDelay
 	var last error
 	position := 0
+	silent := map[string]bool{} // VMs that did not reply. Replicas may still name them as the leader.
 	for try := 0; ; try++ {
-		retrySignal := c.retrySignal()
+		retry, elected := c.signals()
 		vm := c.chooseVM(&position)
-		reply, err := c.attempt(ctx, vm, call)
+		reply, err := c.attempt(ctx, vm, call, elected)
 		switch {
 		case err == nil && reply.Code == fleetpb.Reply_OK:
 			c.leaderHint.Store(vm)
 			return reply, nil
 		case err == nil && reply.Code == fleetpb.Reply_REFUSED:
 			return nil, &RefusedError{Detail: reply.Detail}
-		case err == nil && reply.Code == fleetpb.Reply_NOT_LEADER && reply.Leader != "" && reply.Leader != vm:
+		case err == nil && reply.Code == fleetpb.Reply_NOT_LEADER && reply.Leader != "" && reply.Leader != vm && !silent[reply.Leader]:
 			c.leaderHint.Store(reply.Leader)
 			if try%2 == 0 {
 				continue
@@ -157,12 +170,12 @@
 			c.leaderHint.Store("")
 		}
 		if err != nil {
-			last = err
+			last, silent[vm] = err, true
 		}
 		select {
 		case <-ctx.Done():
 			return nil, errors.Join(ErrUnavailable, last)
-		case <-retrySignal:
+		case <-retry:
 			delay = initialRetryDelay
 		case <-time.After(delay):
 			delay = min(maxRetryDelay, delay*2)
@@ -185,12 +198,20 @@
 	return vms[*position%len(vms)]
 }
 
-func (c *Client) attempt(ctx context.Context, vm string, call *fleetpb.Call) (*fleetpb.Reply, error) {
+// attempt sends the call to a VM. It ends at once if a leader is elected meanwhile.
+func (c *Client) attempt(ctx context.Context, vm string, call *fleetpb.Call, elected <-chan struct{}) (*fleetpb.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if vm == c.vm {
 		return Serve(ctx, c.local(), call), nil
 	}
+	go func() {
+		select {
+		case <-elected:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	return c.fleet.Call(ctx, vm, call)
 }
 
--- a/internal/control/client/client_test.go
+++ b/internal/control/client/client_test.go
@@ -72,3 +72,33 @@
 	_, err := newClient(e).Read(ctx, &fleetpb.ReadState{Tables: true})
 	assert.NilError(t, err, "%d calls", e.calls.Load())
 }
+
+// silentLeader is a fleet whose leader was killed, so that calls to it get no reply, and whose
+// other replica has been elected since.
+type silentLeader struct{ electingFleet }
+
+func (e *silentLeader) Call(ctx context.Context, vm string, c *fleetpb.Call) (*fleetpb.Reply, error) {
+	if vm == "dead" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return e.electingFleet.Call(ctx, vm, c)
+}
+
+// TestLeaderElected checks that a call that waits for the reply of a leader that was killed
+// goes to the next leader as soon as this one is known.
+func TestLeaderElected(t *testing.T) {
+	e := &silentLeader{}
+	c := client.New("caller", clock.NewSystem(), func() *replica.Replica { return nil }, e)
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Read(t.Context(), &fleetpb.ReadState{Tables: true})
+		done <- err
+	}()
+	time.Sleep(300 * time.Millisecond)
+	e.leads.Store(true)
+	start := time.Now()
+	c.LeaderElected()
+	assert.NilError(t, <-done)
+	assert.Assert(t, time.Since(start) < 300*time.Millisecond, "%s", time.Since(start))
+}
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -97,7 +97,11 @@
 	}
 	if e.Stamp > 0 {
 		p.stampedAt.Store(int64(p.cfg.Clock.Now()))
-		p.client.RetryNow()
+		if term := e.Stamp >> gossip.StampTermShift; p.stampTerm.Swap(term) < term {
+			p.client.LeaderElected()
+		} else {
+			p.client.RetryNow()
+		}
 	}
 	for _, ev := range e.Events {
 		p.memberChanged(ev)
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -121,9 +121,10 @@
 	confirmed atomic.Bool  // The revision that the quorum named at the start is in force.
 	// upstreamsSynced is set when the initial fetch of upstreams from other VMs has ended.
 	upstreamsSynced atomic.Bool
-	stampedAt       atomic.Int64 // clock.Time of the newest stamp.
-	issuedAt        clock.Time   // When this VM last issued a stamp; used by gossipLoop only.
-	issued          uint64       // Number of stamps that this VM issued; used by gossipLoop only.
+	stampedAt       atomic.Int64  // clock.Time of the newest stamp.
+	stampTerm       atomic.Uint64 // Term of the newest stamp.
+	issuedAt        clock.Time    // When this VM last issued a stamp; used by gossipLoop only.
+	issued          uint64        // Number of stamps that this VM issued; used by gossipLoop only.
 	drainOnce       sync.Once
 	tasks           sync.WaitGroup
 	cancel          context.CancelFunc
