--- a/internal/routing/layers/chains.go
+++ b/internal/routing/layers/chains.go
@@ -9,9 +9,11 @@
 
 // Parameters of the first assignment.
 const (
+	// onlyChainShare is the share of the requests that its first engine accepts for which a chain
+	// has memory that is the only one of its group. Of several, each has memory for all of them.
+	onlyChainShare = 0.5
 	// repairSlotsShare is the share of the requests that a chain's first engine accepts for which
-	// engines keep memory that close gaps or double layers. A chain of average speed of the first
-	// plan has memory for all of them, so that some is left after the loss of engines.
+	// engines keep memory that close gaps or double layers.
 	repairSlotsShare = 0.25
 	// minChainTokens is the least memory of a chain, in tokens.
 	minChainTokens = 30_000
@@ -27,7 +29,8 @@
 // hold the whole model from the fastest engines first. A fast chain keeps a request for a
 // shorter time, so that it needs less memory for the same rate of requests, fewer engines, and
 // fewer requests are affected when an engine is lost. The engines that are left over double
-// layers.
+// layers; where these are too few for a second chain, the first one is kept shorter, so that more
+// of its layers are doubled.
 func (p *repair) assignChains() {
 	rest := make([]int, 0, len(p.engines))
 	for i, e := range p.engines {
@@ -39,25 +42,26 @@
 		x, y := p.engines[a], p.engines[b]
 		return cmp.Or(cmp.Compare(x.StepFactor, y.StepFactor), cmp.Compare(y.MemoryMB, x.MemoryMB), strings.Compare(x.ID, y.ID))
 	})
-	first := true
-	for len(rest) > 0 {
-		chain := p.nextChain(rest)
-		if len(chain) == 0 && !first {
-			break
-		}
-		if len(chain) == 0 {
-			chain = rest // Too little memory for a chain: hold as many layers as possible.
-		}
-		first = false
+	all := p.m.chainTokens()
+	chain := p.nextChain(rest, all)
+	if len(p.nextChain(rest[len(chain):], all)) == 0 {
+		chain = p.nextChain(rest, max(minChainTokens, onlyChainShare*all))
+	}
+	if len(chain) == 0 {
+		chain = rest // Too little memory for a chain: hold as many layers as possible.
+	}
+	for len(chain) > 0 {
 		p.assignChain(chain)
 		rest = rest[len(chain):]
+		chain = p.nextChain(rest, all)
 	}
 }
 
-// nextChain returns the fastest engines that can hold a chain, or none if the engines are too
-// few even for a chain with the least memory.
-func (p *repair) nextChain(rest []int) []int {
-	for tokens := p.m.chainTokens(); ; tokens = max(minChainTokens, tokens/2) {
+// nextChain returns the fastest engines that can hold a chain with memory for the given number of
+// tokens, or for as many as they can, or none if the engines are too few even for a chain with the
+// least memory.
+func (p *repair) nextChain(rest []int, tokens float64) []int {
+	for ; ; tokens = max(minChainTokens, tokens/2) {
 		chain := p.prefix(rest, tokens)
 		if len(chain) == 0 {
 			if tokens == minChainTokens {
--- a/internal/routing/layers/layers.go
+++ b/internal/routing/layers/layers.go
@@ -150,9 +150,9 @@
 	slices.SortFunc(g, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), strings.Compare(a.ID, b.ID))
 	})
-	p := &repair{m: m, engines: g, holders: holders, growAlways: grow, reasons: map[int]string{}, idleReason: "addRoom", idleTokens: m.repairTokens()}
+	p := &repair{m: m, engines: g, holders: holders, growAlways: grow, reasons: map[int]string{}, idleReason: "addRoom"}
 	if !slices.ContainsFunc(g, func(e Engine) bool { return e.To > e.From }) {
-		p.idleReason, p.idleTokens = firstPlan, m.chainTokens()/2
+		p.idleReason = firstPlan
 		p.assignChains()
 	}
 	p.closeGaps()
--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -15,7 +15,6 @@
 	maxHolders int            // See fillGaps.
 	reasons    map[int]string // Reason of the order for each changed engine, by index.
 	idleReason string         // Reason of orders that only add capacity.
-	idleTokens float64        // Memory that an idle engine keeps for requests, in tokens, if possible.
 }
 
 // closeGaps covers layers that no engine of the group holds: with idle engines, and with engines
@@ -198,7 +197,7 @@
 		if e.To > e.From || !e.Settled || e.New {
 			continue
 		}
-		width := p.m.layersFor(e.MemoryMB, p.idleTokens)
+		width := p.m.layersFor(e.MemoryMB, p.m.repairTokens())
 		if width == 0 {
 			continue
 		}
