--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -44,6 +44,7 @@
 const tablesYAML = `
 routes:
   - {name: book, match: {host: a.example, pathPrefix: /book/}, pool: desk, calls: nonIdempotent, deadline: 800ms, attempts: 1, objective: 100ms}
+  - {name: bulk, match: {host: a.example, pathPrefix: /bulk/}, pool: desk, calls: nonIdempotent, deadline: 20s, attempts: 1, objective: 100ms}
   - {name: look, match: {host: a.example, pathPrefix: /look/}, pool: desk, calls: idempotent, deadline: 800ms, attempts: 2, objective: 60ms}
   - {name: open, match: {host: a.example, pathPrefix: /open/}, pool: desk, calls: idempotent, deadline: 800ms, anonymous: true}
   - {name: draft, match: {host: a.example, pathPrefix: /draft/}, pool: crew, calls: idempotent, deadline: 5s, attempts: 2, objective: 500ms, events: {resumable: true, maxGap: 200ms}}
--- a/internal/request/forward/trouble_test.go
+++ b/internal/request/forward/trouble_test.go
@@ -72,7 +72,7 @@
 	var done sync.WaitGroup
 	for range callers {
 		done.Go(func() {
-			resp, body, err := f.do(t, "POST", "/book/1", "")
+			resp, body, err := f.do(t, "POST", "/bulk/1", "")
 			assert.Check(t, err)
 			assert.Check(t, resp.StatusCode == http.StatusBadGateway, body)
 		})
