--- a/internal/routing/layers/repair.go
+++ b/internal/routing/layers/repair.go
@@ -37,6 +37,7 @@
 	q := p.clone()
 	q.fillGaps(maxHolders)
 	if q.hasGap() && p.growAlways {
+		// Engines that have got a range cannot be shifted any more.
 		q = p.clone()
 		q.cascadeGaps()
 		q.fillGaps(maxHolders)
