--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -48,6 +48,8 @@
 	Tables *lookup.Index // Tables that were active when the request arrived.
 	Route  *tables.Route
 	Pool   *tables.Pool
+	// SharedParts are the IDs of the prompt parts that other requests may have too.
+	SharedParts []string
 	// Priority is that of the organisation if it is known, else of the route. 0 is the highest.
 	Priority int
 }
--- a/internal/request/forward/dialect.go
+++ b/internal/request/forward/dialect.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -14,13 +15,22 @@
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
 )
 
+// Limits of the prompt parts that are looked at.
+const (
+	maxSharedParts = 32
+	maxPartBytes   = 64
+)
+
 // Dialect holds the names of the headers that callers and upstreams use.
 type Dialect struct {
-	RequestID    string // Unique for each attempt of a caller.
-	Deadline     string // Time that the caller waits, in ms.
-	LastEventID  string // ID of the last event that the caller received.
-	TokenCounts  string // Prompt tokens and maximum answer tokens, separated by a comma.
-	AnswerHint   string // The caller's estimate of answer tokens.
+	RequestID   string // Unique for each attempt of a caller.
+	Deadline    string // Time that the caller waits, in ms.
+	LastEventID string // ID of the last event that the caller received.
+	TokenCounts string // Prompt tokens and maximum answer tokens, separated by a comma.
+	AnswerHint  string // The caller's estimate of answer tokens.
+	// PromptParts lists the parts of the prompt in order, as ID:TOKENS entries separated by
+	// commas. Requests share parts; the last part is the request's own.
+	PromptParts  string
 	Key          string // Holds KeyScheme, a space and the organisation's key.
 	KeyScheme    string
 	Organisation string // Sent to upstreams.
@@ -38,7 +48,7 @@
 func DefaultDialect() Dialect {
 	return Dialect{
 		RequestID: "Jasminecove-Request-Id", Deadline: "Jasminecove-Deadline-Ms", LastEventID: "Last-Event-Id",
-		TokenCounts: "Jasminecove-Tokens", AnswerHint: "Jasminecove-Answer-Hint", Key: "Authorization", KeyScheme: "Bearer",
+		TokenCounts: "Jasminecove-Tokens", AnswerHint: "Jasminecove-Answer-Hint", PromptParts: "Jasminecove-Prompt-Parts", Key: "Authorization", KeyScheme: "Bearer",
 		Organisation: "Jasminecove-Organisation", Upstream: "Jasminecove-Upstream", Path: "Jasminecove-Path",
 		Urgency: "Jasminecove-Urgency", Integrity: "Jasminecove-Integrity", NotRun: "Jasminecove-Not-Run",
 		FaultyEngine: "Jasminecove-Culprit", FormatPath: FormatPath,
@@ -100,6 +110,21 @@
 	return prompt, answer
 }
 
+// sharedParts returns the IDs of the prompt parts that other requests may have too: all but the
+// last one. It returns maxSharedParts at most, and leaves out IDs that are too long.
+func (d *Dialect) sharedParts(h http.Header) []string {
+	entries := strings.Split(strings.Join(h.Values(d.PromptParts), ","), ",")
+	entries = entries[:len(entries)-1]
+	var parts []string
+	for _, e := range entries[:min(len(entries), maxSharedParts)] {
+		id, _, _ := strings.Cut(e, ":")
+		if id = strings.ToLower(strings.TrimSpace(id)); id != "" && len(id) <= maxPartBytes && !slices.Contains(parts, id) {
+			parts = append(parts, id)
+		}
+	}
+	return parts
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
--- a/internal/request/forward/filters.go
+++ b/internal/request/forward/filters.go
@@ -43,7 +43,7 @@
 	if !ok {
 		return refusal.New(refusal.UnknownRoute, http.StatusNotFound, "no route matches the host and path")
 	}
-	x.Forward = exchange.Forwarded{Tables: index, Route: route, Priority: route.Priority}
+	x.Forward = exchange.Forwarded{Tables: index, Route: route, Priority: route.Priority, SharedParts: f.h.cfg.Dialect.sharedParts(x.R.Header)}
 	x.Account.Route = route.Name
 	x.Account.Pool = lookup.PickPool(route, f.h.random())
 	x.Forward.Pool, ok = index.Pool(x.Account.Pool)
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -61,6 +61,7 @@
 	headWritten  bool      // The response header was sent to the caller.
 	runs         int       // Runs that may have started.
 	lastWrite    time.Time // Time of the last write of events to the caller.
+	firstEvent   time.Time // Time of the first event of the current run, zero before it.
 	rejections   int       // Attempts that an upstream rejected without running them.
 	delivered    bool      // An upstream may have received the request, so another attempt is a retry.
 	// firstEngines holds the upstreams that may have run the request as the first of a path.
@@ -220,6 +221,7 @@
 
 // runOnce sends the request to a target and relays its events.
 func (s *stream) runOnce(ctx context.Context, t *target) runResult {
+	s.firstEvent = time.Time{}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.watchEngines(ctx, t, cancel)
@@ -319,12 +321,23 @@
 func (s *stream) recordProgress(stall *stallDetector, events int64) {
 	stall.progress(events)
 	now := time.Now()
+	if s.firstEvent.IsZero() {
+		s.firstEvent = now
+	}
 	if s.headWritten {
 		s.x.Account.Pause = max(s.x.Account.Pause, clock.FromStd(now.Sub(s.lastWrite)))
 	}
 	s.lastWrite = now
 }
 
+// sinceFirstEvent returns the time since the first event of the current run in ms, or -1 before it.
+func (s *stream) sinceFirstEvent() int64 {
+	if s.firstEvent.IsZero() {
+		return -1
+	}
+	return time.Since(s.firstEvent).Milliseconds()
+}
+
 // emit writes events to the caller, preceded by the header of the first run's response.
 func (s *stream) emit(a *call.Response, events []byte) error {
 	s.writeHead(a)
@@ -360,6 +373,7 @@
 	p := t.currentPath()
 	s.h.cfg.Log.Decision("runEnded", s.x.ID, "upstream", t.id, "address", t.address, "hops", len(p.Hops), "path", FormatPath(p.Hops), "status", end.status,
 		"notRun", end.notRun, "fault", end.faultAddress, "cause", end.cause.Error(), "lastEvent", s.lastEvent, "run", len(s.x.Account.Attempts),
+		"sharedParts", s.x.Forward.SharedParts, "sinceFirstEventMs", s.sinceFirstEvent(),
 		"estimateFirstMs", p.FirstMs, "estimateTokenMs", p.TokenMs,
 		"atMs", time.Since(s.x.Received).Milliseconds(), "leftMs", int64(remaining(s.x)))
 	if errors.Is(end.cause, context.Canceled) || errors.Is(end.cause, context.DeadlineExceeded) {
