--- a/internal/node/controlplane/calls.go
+++ b/internal/node/controlplane/calls.go
@@ -20,6 +20,8 @@
 		if p.cfg.OnOccupancy != nil {
 			p.cfg.OnOccupancy(fromVM, b.Occupancy)
 		}
+	case *fleetpb.Envelope_Parts:
+		p.handleParts(fromVM, b.Parts)
 	case *fleetpb.Envelope_Gossip:
 		b.Gossip.From = fromVM
 		p.update(gossip.PeerMsg{Message: b.Gossip})
@@ -47,7 +49,11 @@
 				homes = append(homes, h.Vm)
 			}
 		}
-		return &fleetpb.Reply{Digests: p.cfg.Directory.DigestsOf(homes)}
+		reply := &fleetpb.Reply{Digests: p.cfg.Directory.DigestsOf(homes)}
+		if b.Upstreams.All && p.cfg.Parts != nil {
+			reply.Parts = p.cfg.Parts.All()
+		}
+		return reply
 	case *fleetpb.Call_Lend:
 		if p.cfg.Lend == nil {
 			return &fleetpb.Reply{}
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -195,6 +195,9 @@
 				continue
 			}
 			p.cfg.Directory.TakeDigests(reply.Digests)
+			if p.cfg.Parts != nil {
+				p.cfg.Parts.Merge(vm, reply.Parts)
+			}
 		}
 		_ = delay.Wait(ctx, fetchRetryDelay)
 	}
--- /dev/null
+++ b/internal/node/controlplane/parts.go
@@ -0,0 +1,64 @@
+package controlplane
+
+import (
+	"context"
+	"time"
+
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// partExchangeInterval is the interval between two exchanges with one gossip target, which repair
+// what was lost or missed.
+const partExchangeInterval = 1 * time.Second
+
+// partsLoop exchanges what is known of prompt parts on which upstreams crash. Changes are sent to
+// the gossip targets at once.
+func (p *Plane) partsLoop(ctx context.Context) {
+	ticker := time.NewTicker(partExchangeInterval)
+	defer ticker.Stop()
+	for round := 0; ; {
+		exchange := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.cfg.Parts.Changed():
+		case <-ticker.C:
+			p.cfg.Parts.Tick()
+			exchange = true
+			round++
+		}
+		p.mu.Lock()
+		targets := p.gossip.Targets()
+		p.mu.Unlock()
+		if len(targets) == 0 {
+			continue
+		}
+		if records := p.cfg.Parts.TakeUnsent(len(targets)); len(records) > 0 {
+			for _, address := range targets {
+				p.sendParts(address, &fleetpb.PartRecords{Records: records})
+			}
+		}
+		if exchange {
+			p.sendParts(targets[round%len(targets)], &fleetpb.PartRecords{Records: p.cfg.Parts.Next(), Exchange: true})
+		}
+	}
+}
+
+func (p *Plane) sendParts(address string, m *fleetpb.PartRecords) {
+	p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Parts{Parts: m}})
+}
+
+// handleParts merges the records of another VM, and sends back what it lacks if it asks for that.
+func (p *Plane) handleParts(vm string, m *fleetpb.PartRecords) {
+	if p.cfg.Parts == nil {
+		return
+	}
+	p.cfg.Parts.Merge(vm, m.Records)
+	if !m.Exchange {
+		return
+	}
+	records := p.cfg.Parts.Differing(m.Records)
+	if address, ok := p.address(vm); ok && len(records) > 0 {
+		p.sendParts(address, &fleetpb.PartRecords{Records: records})
+	}
+}
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -66,6 +66,9 @@
 	Parse func(document []byte) (*tables.Document, error)
 	// OnOccupancy, if set, receives the capacity that another VM's requests hold on upstreams.
 	OnOccupancy func(vm string, o *fleetpb.Occupancy)
+	// Parts, if set, exchanges with other VMs what is known of the prompt parts on which upstreams
+	// crash.
+	Parts PartExchange
 	// Lend, if set, grants another VM retries from this one's share of a pool's retry limit
 	// and returns the number granted.
 	Lend   func(pool string, retries int) int
@@ -90,6 +93,20 @@
 	HomeBack(vm string)
 }
 
+// PartExchange holds what a VM knows of the prompt parts on which upstreams crash.
+type PartExchange interface {
+	Merge(vm string, records []*fleetpb.PartRecord)
+	// All returns all records, and Differing some that another VM lacks.
+	All() []*fleetpb.PartRecord
+	Differing(theirs []*fleetpb.PartRecord) []*fleetpb.PartRecord
+	// TakeUnsent returns the records to be sent to a number of VMs, and Next some in turn.
+	TakeUnsent(vms int) []*fleetpb.PartRecord
+	Next() []*fleetpb.PartRecord
+	// Changed is signalled when TakeUnsent has records.
+	Changed() <-chan struct{}
+	Tick()
+}
+
 // Limits holds the rate limits of the organisations, for which the VMs exchange demand.
 type Limits interface {
 	Demands() map[string]float64
@@ -177,6 +194,9 @@
 		p.task(func() { p.form(ctx) })
 	}
 	p.task(func() { p.gossipLoop(ctx) })
+	if p.cfg.Parts != nil && p.transport != nil {
+		p.task(func() { p.partsLoop(ctx) })
+	}
 	p.task(func() { p.fetchLoop(ctx) })
 	if p.transport != nil {
 		p.task(func() { p.demandLoop(ctx) })
--- a/internal/node/rejoin/rejoin.go
+++ b/internal/node/rejoin/rejoin.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,14 @@
 	Report(ctx context.Context, id, address string) (placer.Report, error)
 }
 
+// Parts holds what is known of prompt parts on which upstreams crash.
+type Parts interface {
+	All() []*fleetpb.PartRecord
+	Merge(source string, records []*fleetpb.PartRecord)
+	// Version returns a number that grows with each change.
+	Version() uint64
+}
+
 // Store saves the list of upstreams to the data folder and restores it after a restart.
 type Store struct {
 	Disk    journal.Disk
@@ -68,8 +77,11 @@
 	// waits for that, so that it checks only upstreams that no other VM has. Nil means a lone
 	// VM.
 	UpstreamsSynced func() bool
+	// Parts holds what is known of prompt parts on which upstreams crash. It may be nil.
+	Parts Parts
 
 	savedVersion uint64 // Catalog version of the saved list.
+	savedParts   uint64 // Version of the saved parts.
 	saveFailed   bool   // The last write failed.
 }
 
@@ -97,14 +109,21 @@
 func (s *Store) Save() error {
 	version := s.Catalog.Version()
 	index := s.Catalog.Tables()
-	if version == s.savedVersion || index == nil {
+	partsVersion := uint64(0)
+	if s.Parts != nil {
+		partsVersion = s.Parts.Version()
+	}
+	if version == s.savedVersion && partsVersion == s.savedParts || index == nil {
 		return nil
 	}
 	paths := map[string]string{}
 	for _, p := range index.Document().Pools {
 		paths[p.Service] = p.HealthPath
 	}
-	list := &fleetpb.KnownUpstreams{}
+	list := &fleetpb.KnownUpstreams{SavedMs: uint64(time.Now().UnixMilli())}
+	if s.Parts != nil {
+		list.Parts = s.Parts.All()
+	}
 	for _, a := range s.Catalog.Announcements() {
 		if a.Leaving {
 			continue
@@ -122,7 +141,7 @@
 	if err := s.replaceFile(data); err != nil {
 		return fmt.Errorf("write upstreams: %w", err)
 	}
-	s.savedVersion = version
+	s.savedVersion, s.savedParts = version, partsVersion
 	return nil
 }
 
@@ -143,12 +162,11 @@
 	return s.Disk.SyncFolder()
 }
 
-// restore checks the upstreams of the list concurrently, and adds those that accept requests to
-// the catalog.
-func (s *Store) restore(ctx context.Context) {
+// load reads the stored list. It returns nil if there is none that can be read.
+func (s *Store) load() *fleetpb.KnownUpstreams {
 	data, err := s.Disk.ReadFile(listFile)
 	if errors.Is(err, os.ErrNotExist) {
-		return
+		return nil
 	}
 	list := &fleetpb.KnownUpstreams{}
 	if err == nil {
@@ -156,6 +174,30 @@
 	}
 	if err != nil {
 		s.Log.Decision("upstreamsRecalled", listFile, "outcome", err.Error())
+		return nil
+	}
+	return list
+}
+
+// RestoreParts restores the prompt parts, whose records have aged since they were saved.
+func (s *Store) RestoreParts() {
+	list := s.load()
+	if list == nil || s.Parts == nil {
+		return
+	}
+	age := max(0, time.Now().UnixMilli()-int64(list.SavedMs))
+	for _, r := range list.Parts {
+		r.AgeMs = uint32(min(math.MaxUint32, int64(r.AgeMs)+age))
+		r.BlockedMs = uint32(max(0, int64(r.BlockedMs)-age))
+	}
+	s.Parts.Merge("disk", list.Parts)
+}
+
+// restore checks the upstreams of the list concurrently, and adds those that accept requests to
+// the catalog.
+func (s *Store) restore(ctx context.Context) {
+	list := s.load()
+	if list == nil {
 		return
 	}
 	for s.UpstreamsSynced != nil && !s.UpstreamsSynced() {
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -30,6 +30,7 @@
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/node/telemetry"
 	"github.com/jasminecove/jasminecove/internal/request/forward"
+	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/request/retryshare"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
@@ -95,6 +96,7 @@
 	pool       *call.Pool
 	upstreams  Upstreams
 	handler    *forward.Handler
+	quarantine *quarantine.Guard
 	callers    *http.Server
 	servers    []*http.Server
 	started    uint64
@@ -124,9 +126,10 @@
 	})
 	src := rng.New(uint64(time.Now().UnixNano()))
 	r.catalog = catalog.New(s.VM, r.clock, cfg.MaxLease, r.upstreamsChanged, catalog.WithDataCentre(s.DataCentre))
+	r.quarantine = quarantine.NewGuard(r.clock, r.log, r.tel.Metrics)
 	r.plane, err = controlplane.New(controlplane.Config{
 		Settings: s, Clock: r.clock, Sink: r.violations, Log: r.log.Logger(), Directory: r.catalog, Source: src,
-		Parse: cfg.Parse, OnOccupancy: r.catalog.MergeOccupancy,
+		Parse: cfg.Parse, OnOccupancy: r.catalog.MergeOccupancy, Parts: r.quarantine,
 		Lend:  func(pool string, retries int) int { return r.handler.Lend(pool, retries) },
 		Drain: func() { r.log.Decision("drainAsked", s.VM) }, Explain: func(string) []byte { return nil },
 	})
@@ -140,7 +143,7 @@
 	r.handler = forward.New(forward.Config{
 		Dialect: cfg.Dialect, DataCentre: s.DataCentre, Clock: r.clock, Source: rng.New(src.Uint64()), Catalog: r.catalog, Pool: r.pool,
 		Retries: cfg.Retries, Lenders: r.plane, VMs: r.vms, Ready: r.synced, Closing: r.draining.Load, OnStall: detect.CheckStall, OnSuspect: detect.Verify,
-		Repath: r.upstreams.Repath, Log: r.log, Metrics: r.tel.Metrics,
+		Repath: r.upstreams.Repath, Quarantine: r.quarantine, Log: r.log, Metrics: r.tel.Metrics,
 	})
 	return r, nil
 }
@@ -151,6 +154,15 @@
 	if err := r.plane.Start(ctx); err != nil {
 		return err
 	}
+	store, err := r.openUpstreamStore()
+	if err != nil {
+		r.Stop()
+		return err
+	}
+	if store != nil {
+		store.RestoreParts()
+		r.task(func() { store.Run(ctx) })
+	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+r.cfg.ReadyPath, r.serveReady)
 	metrics := http.NewServeMux()
@@ -185,28 +197,22 @@
 		c := &placer.Controller{Clock: r.clock, Lease: r.plane, Catalog: r.catalog, API: r.upstreams, Log: r.log}
 		r.task(func() { c.Run(ctx) })
 	}
-	if err := r.startUpstreamStore(ctx); err != nil {
-		r.Stop()
-		return err
-	}
 	r.log.Decision("started", r.cfg.Settings.VM, "dataCentre", r.cfg.Settings.DataCentre, "callers", r.cfg.Callers, "control", r.cfg.Control,
 		"fleet", r.plane.FleetAddress(), "disk", r.cfg.Settings.DataFolder != "", "firstStart", r.cfg.Settings.Fleet.FirstStart)
 	return nil
 }
 
-// startUpstreamStore restores the upstreams that were known before a restart, on a VM with a
-// data folder.
-func (r *Router) startUpstreamStore(ctx context.Context) error {
+// openUpstreamStore returns the store of upstreams and prompt parts on a VM with a data folder,
+// or nil.
+func (r *Router) openUpstreamStore() (*rejoin.Store, error) {
 	if r.cfg.Settings.DataFolder == "" {
-		return nil
+		return nil, nil
 	}
 	disk, err := journal.Folder(r.cfg.Settings.DataFolder)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	store := &rejoin.Store{Disk: disk, Catalog: r.catalog, API: r.upstreams, Log: r.log, UpstreamsSynced: r.plane.UpstreamsSynced}
-	r.task(func() { store.Run(ctx) })
-	return nil
+	return &rejoin.Store{Disk: disk, Catalog: r.catalog, API: r.upstreams, Log: r.log, UpstreamsSynced: r.plane.UpstreamsSynced, Parts: r.quarantine}, nil
 }
 
 func (r *Router) listen(address string, handler http.Handler) error {
@@ -361,6 +367,10 @@
 	}
 	for _, id := range c.Dead {
 		r.log.Decision("upstreamDead", id)
+		r.quarantine.UpstreamEnded(id)
+	}
+	for _, id := range c.Crashed {
+		r.quarantine.UpstreamEnded(id)
 	}
 	if len(c.Dead)+len(c.Vacating) > 0 {
 		select {
--- a/internal/request/forward/filters.go
+++ b/internal/request/forward/filters.go
@@ -149,7 +149,7 @@
 	if x.Forward.Route.Events != nil {
 		return newStream(f.h, x).run(ctx)
 	}
-	return (&plainCall{h: f.h, x: x, exclude: map[string]bool{}}).run(ctx)
+	return (&plainCall{h: f.h, x: x, suspect: suspect{h: f.h, x: x}, exclude: map[string]bool{}}).run(ctx)
 }
 
 // remaining returns the time until a request's deadline, in ms.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/jasminecove/jasminecove/internal/base/rng"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
+	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/request/retryshare"
 	"github.com/jasminecove/jasminecove/internal/request/shortage"
@@ -49,9 +50,11 @@
 	OnSuspect func(address, reason, requestID string)
 	// Repath tells the first engine of a running request to switch to another path with
 	// the same first hop. It is nil if engines do not support that.
-	Repath  func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
-	Log     *decision.Log
-	Metrics tally.Scope
+	Repath func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
+	// Quarantine refuses requests with parts on which upstreams crash. It may be nil.
+	Quarantine *quarantine.Guard
+	Log        *decision.Log
+	Metrics    tally.Scope
 }
 
 // Handler serves the requests of callers. It is safe for concurrent use.
@@ -80,7 +83,7 @@
 	direct := func(ctx context.Context, _ string, x *exchange.Exchange, next exchange.Handler) error {
 		return next(ctx, x)
 	}
-	h.chain = exchange.Chain(direct, &routeFilter{h}, &organisationFilter{h}, &bodyFilter{h}, &sendFilter{h})
+	h.chain = exchange.Chain(direct, &routeFilter{h}, &organisationFilter{h}, &quarantineFilter{h}, &bodyFilter{h}, &sendFilter{h})
 	return h
 }
 
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -20,7 +20,9 @@
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/request/forward"
+	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/request/retryshare"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
@@ -37,6 +39,7 @@
 	server    *httptest.Server
 	ready     error
 	retries   retryshare.Limits
+	guard     *quarantine.Guard
 	once      sync.Once
 	handler   *forward.Handler // Created by the first request.
 }
@@ -65,10 +68,11 @@
 	doc, err := tables.Parse([]byte(tablesYAML))
 	assert.NilError(t, err)
 	f.catalog.SetTables(doc)
+	f.guard = quarantine.NewGuard(clk, (*decision.Log)(nil), tally.NoopScope)
 	cfg := forward.Config{
 		Dialect: forward.DefaultDialect(), DataCentre: "a", Clock: clk, Source: rng.New(1), Catalog: f.catalog, Pool: call.NewPool(),
 		VMs: func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return false },
-		Metrics: tally.NoopScope,
+		Metrics: tally.NoopScope, Quarantine: f.guard,
 		Repath: func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error {
 			if f.repath == nil {
 				return io.ErrNoProgress
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -36,7 +36,8 @@
 	h         *Handler
 	x         *exchange.Exchange
 	exclude   map[string]bool
-	runs      int  // Attempts that may have run.
+	runs      int // Attempts that may have run.
+	suspect   suspect
 	delivered bool // An upstream may have received the request, so another attempt is a retry.
 }
 
@@ -45,6 +46,7 @@
 	status  int
 	header  http.Header
 	body    []byte
+	framed  bool // The end of the body is known without the end of the connection.
 	notRun  bool // The upstream did not run the request.
 	err     error
 	release func() // Releases the body; may be nil.
@@ -65,6 +67,9 @@
 	var last result
 	defer func() { last.free() }()
 	for attempt := 0; ; attempt++ {
+		if err := p.h.checkQuarantine(p.x); err != nil {
+			return p.fail(last, err)
+		}
 		u, err := p.h.cfg.Catalog.Pick(pool, p.h.cfg.DataCentre, p.exclude)
 		if err != nil {
 			return p.fail(last, err)
@@ -74,7 +79,9 @@
 		}
 		mayRetry := repeatable && p.runs+1 < maxAttempts
 		last.free()
+		p.suspect.begin([]string{u.ID})
 		last = p.send(ctx, u, route, mayRetry)
+		p.judge(last)
 		p.exclude[u.ID] = true
 		p.delivered = p.delivered || !errors.Is(last.err, call.ErrNotSent)
 		p.recordAttempt(u, last)
@@ -84,6 +91,8 @@
 		case ctx.Err() != nil:
 			return p.fail(last, context.Cause(ctx))
 		case last.notRun && attempt < maxRejections:
+		case p.suspect.isRepeated():
+			return p.fail(last, errRepeatedCrash)
 		case !last.notRun && mayRetry:
 			p.runs++
 		default:
@@ -92,6 +101,17 @@
 	}
 }
 
+// judge records what the result of an attempt says of the prompt's parts.
+func (p *plainCall) judge(a result) {
+	switch {
+	case a.notRun:
+	case a.err == nil && a.status < http.StatusInternalServerError:
+		p.suspect.run.complete(a.framed)
+	case isBreak(a.err):
+		p.suspect.broke()
+	}
+}
+
 // send sends the call to one upstream and reads the complete response.
 func (p *plainCall) send(ctx context.Context, u catalog.Choice, route *tables.Route, mayRetry bool) result {
 	if mayRetry {
@@ -112,7 +132,7 @@
 	}
 	defer a.Close()
 	body, free, err := p.h.buffers.readAll(a)
-	out := result{status: a.Status, header: a.Header, body: body, notRun: d.notRun(a.Status, a.Header), err: err, release: free}
+	out := result{status: a.Status, header: a.Header, body: body, notRun: d.notRun(a.Status, a.Header), framed: a.Framed, err: err, release: free}
 	if err == nil && out.status < http.StatusMultipleChoices && a.Header.Get(d.Integrity) == "" {
 		out.err = errNoIntegrity
 	}
@@ -185,6 +205,9 @@
 		// An error response of the upstream is passed on.
 		return p.writeResponse(last)
 	}
+	if errors.Is(cause, errQuarantined) && p.runs == 0 {
+		return cause
+	}
 	if p.runs > 0 || last.err != nil && !last.notRun {
 		p.x.Outcome = refusal.Unknown
 		if errors.Is(cause, context.DeadlineExceeded) {
--- /dev/null
+++ b/internal/request/forward/quarantine_test.go
@@ -0,0 +1,134 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// crashOn returns a handler of upstreams that end on requests with a part, after some bytes of the
+// answer, and serve others.
+func crashOn(f *fixture, part, answer string, serve func(*upstream, net.Conn, *http.Request)) func(*upstream, net.Conn, *http.Request) {
+	return func(u *upstream, c net.Conn, r *http.Request) {
+		if !strings.Contains(r.Header.Get("Jasminecove-Prompt-Parts"), part) {
+			serve(u, c, r)
+			return
+		}
+		_, _ = fmt.Fprintf(c, answer, r.Header.Get("Jasminecove-Request-Id"))
+		f.catalog.Deregister(u.id)
+		f.guard.UpstreamEnded(u.id)
+		_ = c.Close()
+	}
+}
+
+const (
+	noAnswer       = "%.0s"
+	unframedHead   = "HTTP/1.1 200 x\r\nJasminecove-Request-Id: %s\r\n" + integrity + "\r\n"
+	unframedEvent  = unframedHead + "id: 1\ndata: x\n\n"
+	unframedPart   = unframedHead + "id: 1\ndata"
+	chunkedHead    = "HTTP/1.1 200 x\r\nJasminecove-Request-Id: %s\r\n" + integrity + "Transfer-Encoding: chunked\r\n\r\n"
+	promptParts    = "Jasminecove-Prompt-Parts"
+	harmfulParts   = "aa00:40,bad0:7,%x:20"
+	soundParts     = "aa00:40,cc00:7,%x:20"
+	manyUpstreams  = 20
+	maxCrashBefore = 5
+)
+
+// TestQuarantineKeepsPartFromUpstreams covers each way of a request to upstreams.
+func TestQuarantineKeepsPartFromUpstreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path, answer string
+		header               []string
+	}{
+		"stream":                            {"GET", "/draft/1", chunkedHead, nil},
+		"stream without an answer":          {"GET", "/draft/1", noAnswer, nil},
+		"stream that the caller resumes":    {"GET", "/draft/1", chunkedHead, []string{"Last-Event-Id", "3"}},
+		"stream that ends with its channel": {"GET", "/draft/1", unframedEvent, nil},
+		"stream that ends inside an event":  {"GET", "/draft/1", unframedPart, nil},
+		"stream that is not resumable":      {"GET", "/once/1", chunkedHead, nil},
+		"idempotent call":                   {"GET", "/look/1", noAnswer, nil},
+		"non-idempotent call":               {"POST", "/book/1", noAnswer, nil},
+		"call whose answer has no length":   {"GET", "/look/1", unframedHead, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var all []*upstream
+			for i := range manyUpstreams {
+				all = append(all, f.start(t, fmt.Sprintf("e%d", i), "crew", 0, 8, crashOn(f, "bad0", c.answer, events(3, 0))),
+					f.start(t, fmt.Sprintf("u%d", i), "desk", 0, 0, crashOn(f, "bad0", c.answer, serveOK)))
+			}
+			request := func(parts string, i int) (int, string) {
+				header := append([]string{promptParts, fmt.Sprintf(parts, i), "Jasminecove-Request-Id", fmt.Sprintf("id-%d", i)}, c.header...)
+				resp, body, err := f.do(t, c.method, c.path, "", header...)
+				if err != nil {
+					return 0, err.Error()
+				}
+				return resp.StatusCode, body
+			}
+			status, body := request(soundParts, 200)
+			assert.Equal(t, status, http.StatusOK, body)
+			sound := countRuns(all)
+			refusedAt := -1
+			for i := range maxCrashBefore + 1 {
+				status, body := request(harmfulParts, i)
+				if strings.Contains(body, "urn:jasminecove:problem:quarantined") {
+					assert.Equal(t, status, http.StatusServiceUnavailable)
+					assert.Assert(t, strings.Contains(body, `"notRun"`) && strings.Contains(body, "bad0"), body)
+					refusedAt = i
+					break
+				}
+			}
+			assert.Assert(t, refusedAt > 0, "no request was refused")
+			runs := countRuns(all) - sound
+			assert.Assert(t, runs <= maxCrashBefore, "%d runs", runs)
+			status, body = request(harmfulParts, 100)
+			assert.Equal(t, status, http.StatusServiceUnavailable, body)
+			status, body = request(soundParts, 101)
+			assert.Equal(t, status, http.StatusOK, body)
+		})
+	}
+}
+
+func countRuns(all []*upstream) (runs int) {
+	for _, u := range all {
+		runs += u.runs()
+	}
+	return runs
+}
+
+// TestCrashingRequestIsNotRepeatedWithoutEnd has no other request crash upstreams, so that there is
+// no quarantine.
+func TestCrashingRequestIsNotRepeatedWithoutEnd(t *testing.T) {
+	f := newFixture(t)
+	var all []*upstream
+	for i := range manyUpstreams {
+		all = append(all, f.start(t, fmt.Sprintf("e%d", i), "crew", 0, 8, crashOn(f, "bad0", chunkedHead, events(3, 0))))
+	}
+	resp, _, err := f.do(t, "GET", "/draft/1", "", promptParts, fmt.Sprintf(harmfulParts, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, countRuns(all), 2)
+}
+
+// TestStreamThatEndsInsideAnEventIsResumed has an upstream end its channel in the middle of an event.
+func TestStreamThatEndsInsideAnEventIsResumed(t *testing.T) {
+	f := newFixture(t)
+	f.start(t, "e1", "crew", 0, 8, func(_ *upstream, c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, unframedHead, r.Header.Get("Jasminecove-Request-Id"))
+		if r.Header.Get("Last-Event-Id") == "" {
+			_, _ = io.WriteString(c, "id: 1\ndata: x\n\nid: 2\nda")
+		} else {
+			_, _ = io.WriteString(c, "id: 2\ndata: x\n\n")
+		}
+		_ = c.Close()
+	})
+	resp, body, err := f.do(t, "GET", "/draft/1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, strings.Count(body, "\n\n"), 2, body)
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -61,15 +61,15 @@
 	headWritten  bool      // The response header was sent to the caller.
 	runs         int       // Runs that may have started.
 	lastWrite    time.Time // Time of the last write of events to the caller.
-	firstEvent   time.Time // Time of the first event of the current run, zero before it.
-	rejections   int       // Attempts that an upstream rejected without running them.
-	delivered    bool      // An upstream may have received the request, so another attempt is a retry.
+	suspect      suspect
+	rejections   int  // Attempts that an upstream rejected without running them.
+	delivered    bool // An upstream may have received the request, so another attempt is a retry.
 	// firstEngines holds the upstreams that may have run the request as the first of a path.
 	firstEngines map[string]bool
 }
 
 func newStream(h *Handler, x *exchange.Exchange) *stream {
-	s := &stream{h: h, x: x, exclude: map[string]bool{}, firstEngines: map[string]bool{}}
+	s := &stream{h: h, x: x, suspect: suspect{h: h, x: x}, exclude: map[string]bool{}, firstEngines: map[string]bool{}}
 	usualPrompt, usualAnswer := 0, 0
 	if e := x.Forward.Pool.Engine; e != nil {
 		usualPrompt, usualAnswer = e.DefaultPromptTokens, e.DefaultAnswerTokens
@@ -87,6 +87,7 @@
 	status       int    // Status of a response that is not an event stream.
 	final        bool   // The response was passed on or writing to the caller failed.
 	cause        error  // Nil if the stream is complete.
+	unframed     bool   // The end of the stream is only known by the end of the connection.
 	faultAddress string // Address of the engine at fault, if the response names one.
 }
 
@@ -99,10 +100,12 @@
 		}
 		p := t.currentPath()
 		s.x.Account.Path = exchange.PathEstimate{First: t.id, Hops: len(p.Hops), FirstMs: p.FirstMs, TokenMs: p.TokenMs}
+		s.suspect.begin(t.engineIDs())
 		end := s.runOnce(ctx, t)
 		s.x.Account.Events = s.lastEvent - s.resumeAfter
 		t.close()
 		s.recordRun(t, end)
+		s.judgeRun(end)
 		if !end.notRun && end.cause != nil && !end.final {
 			s.runs++
 			s.firstEngines[t.id] = true
@@ -120,6 +123,17 @@
 	}
 }
 
+// judgeRun records what the end of a run says of the prompt's parts. An upstream's own failure
+// response says nothing.
+func (s *stream) judgeRun(end runResult) {
+	switch {
+	case end.cause == nil && !end.final:
+		s.suspect.run.complete(!end.unframed)
+	case !end.final && !end.notRun && end.status == 0 && isBreak(end.cause):
+		s.suspect.broke()
+	}
+}
+
 // checkRetry returns nil if a request whose run failed may be sent again, or the reason against it.
 func (s *stream) checkRetry(ctx context.Context, end runResult) error {
 	route := s.x.Forward.Route
@@ -132,6 +146,9 @@
 		if !route.Events.Resumable {
 			return errNotResumable
 		}
+		if s.suspect.isRepeated() {
+			return errRepeatedCrash
+		}
 		if s.runs >= maxRuns || s.x.Forward.Pool.Engine == nil && s.allowedFirst() != nil {
 			return errAttemptsExhausted
 		}
@@ -170,6 +187,9 @@
 	poll := time.NewTicker(pathPollInterval)
 	defer poll.Stop()
 	for {
+		if err := s.h.checkQuarantine(s.x); err != nil {
+			return nil, err
+		}
 		room := s.h.cfg.Catalog.CapacityFreed()
 		t, err := s.findTarget()
 		if err == nil {
@@ -221,7 +241,6 @@
 
 // runOnce sends the request to a target and relays its events.
 func (s *stream) runOnce(ctx context.Context, t *target) runResult {
-	s.firstEvent = time.Time{}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.watchEngines(ctx, t, cancel)
@@ -312,7 +331,7 @@
 		default:
 			// A stream that is resumed after its last event has no more events.
 			s.writeHead(a)
-			return runResult{}
+			return runResult{unframed: !a.Framed}
 		}
 	}
 }
@@ -321,23 +340,13 @@
 func (s *stream) recordProgress(stall *stallDetector, events int64) {
 	stall.progress(events)
 	now := time.Now()
-	if s.firstEvent.IsZero() {
-		s.firstEvent = now
-	}
+	s.suspect.run.progress(now)
 	if s.headWritten {
 		s.x.Account.Pause = max(s.x.Account.Pause, clock.FromStd(now.Sub(s.lastWrite)))
 	}
 	s.lastWrite = now
 }
 
-// sinceFirstEvent returns the time since the first event of the current run in ms, or -1 before it.
-func (s *stream) sinceFirstEvent() int64 {
-	if s.firstEvent.IsZero() {
-		return -1
-	}
-	return time.Since(s.firstEvent).Milliseconds()
-}
-
 // emit writes events to the caller, preceded by the header of the first run's response.
 func (s *stream) emit(a *call.Response, events []byte) error {
 	s.writeHead(a)
@@ -373,7 +382,7 @@
 	p := t.currentPath()
 	s.h.cfg.Log.Decision("runEnded", s.x.ID, "upstream", t.id, "address", t.address, "hops", len(p.Hops), "path", FormatPath(p.Hops), "status", end.status,
 		"notRun", end.notRun, "fault", end.faultAddress, "cause", end.cause.Error(), "lastEvent", s.lastEvent, "run", len(s.x.Account.Attempts),
-		"sharedParts", s.x.Forward.SharedParts, "sinceFirstEventMs", s.sinceFirstEvent(),
+		"sharedParts", s.x.Forward.SharedParts, "sinceFirstEventMs", s.suspect.run.sinceFirstEvent(),
 		"estimateFirstMs", p.FirstMs, "estimateTokenMs", p.TokenMs,
 		"atMs", time.Since(s.x.Received).Milliseconds(), "leftMs", int64(remaining(s.x)))
 	if errors.Is(end.cause, context.Canceled) || errors.Is(end.cause, context.DeadlineExceeded) {
@@ -436,6 +445,8 @@
 			return refusal.New(refusal.DeadlinePassed, http.StatusGatewayTimeout, "the answer was not whole in time").WithOutcome(refusal.Unknown).WithCause(cause)
 		}
 		return refusal.New(refusal.UpstreamFailed, http.StatusBadGateway, "the answer could not be completed").WithOutcome(refusal.Unknown).WithCause(cause)
+	case errors.Is(cause, errQuarantined):
+		return cause
 	case errors.Is(cause, chain.ErrMissingLayers), errors.Is(cause, catalog.ErrNoUpstream):
 		return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "no path runs every layer").WithRetryAfter(s.retryAfter(false)).WithCause(cause)
 	case errors.Is(cause, chain.ErrFull):
--- a/internal/request/forward/target.go
+++ b/internal/request/forward/target.go
@@ -84,8 +84,11 @@
 // if that fails. It also tries another path when an engine is about to give up layers, which
 // otherwise waits for the run.
 func (s *stream) watchEngines(ctx context.Context, t *target, cancel context.CancelCauseFunc) {
+	run := s.suspect.run
+	run.setUpstreams(t.engineIDs())
 	lost := func(dead string) {
-		if !s.repath(ctx, t, dead) {
+		run.lost(dead)
+		if s.h.checkQuarantine(s.x) != nil || !s.repath(ctx, t, dead) {
 			cancel(errEngineDead)
 			return
 		}
--- /dev/null
+++ b/internal/request/quarantine/exchange.go
@@ -0,0 +1,151 @@
+package quarantine
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Limits of the exchange with other VMs.
+const (
+	// sentBytesPerSecond bounds what a VM sends on average of changed records, and maxSentBytes
+	// what it sends at once.
+	sentBytesPerSecond = 1000
+	maxSentBytes       = 32 << 10
+	// maxExchanged is the number of records in one exchange that repairs losses.
+	maxExchanged = 8
+)
+
+// sendBudget bounds the bytes sent to other VMs.
+type sendBudget struct {
+	bytes float64
+	last  clock.Time
+}
+
+// take reports whether n bytes may be sent now, and counts them.
+func (b *sendBudget) take(now clock.Time, n int) bool {
+	if b.last == 0 {
+		b.bytes = maxSentBytes
+	} else {
+		b.bytes = min(maxSentBytes, b.bytes+sentBytesPerSecond*float64(now.Sub(b.last))/float64(clock.Second))
+	}
+	b.last = now
+	if b.bytes < float64(n) {
+		return false
+	}
+	b.bytes -= float64(n)
+	return true
+}
+
+// TakeUnsent returns the records that changed since they were last returned, to be sent to a
+// number of VMs. What exceeds the limit on bytes is returned later.
+func (t *Tracker) TakeUnsent(now clock.Time, vms int) []*fleetpb.PartRecord {
+	var out []*fleetpb.PartRecord
+	for _, p := range t.sortedParts() {
+		r := t.records[p]
+		if !r.unsent {
+			continue
+		}
+		m := r.encode(now)
+		if !t.sent.take(now, vms*proto.Size(m)) {
+			break
+		}
+		r.unsent = false
+		out = append(out, m)
+	}
+	return out
+}
+
+// Next returns some records in turn, for an exchange that repairs losses.
+func (t *Tracker) Next(now clock.Time) []*fleetpb.PartRecord {
+	parts := t.sortedParts()
+	var out []*fleetpb.PartRecord
+	for range min(len(parts), maxExchanged) {
+		out = append(out, t.records[parts[t.nextRound%len(parts)]].encode(now))
+		t.nextRound++
+	}
+	return out
+}
+
+// All returns all records, for a VM that has just started or for the disk.
+func (t *Tracker) All(now clock.Time) []*fleetpb.PartRecord {
+	var out []*fleetpb.PartRecord
+	for _, p := range t.sortedParts() {
+		out = append(out, t.records[p].encode(now))
+	}
+	return out
+}
+
+// Differing returns the records that the sender of some others lacks or has in an older state.
+func (t *Tracker) Differing(now clock.Time, theirs []*fleetpb.PartRecord) []*fleetpb.PartRecord {
+	out := t.Next(now)
+	return slices.DeleteFunc(out, func(m *fleetpb.PartRecord) bool {
+		return slices.ContainsFunc(theirs, func(o *fleetpb.PartRecord) bool {
+			return o.Part == m.Part && o.Round == m.Round && len(o.Crashes) == len(m.Crashes) && (o.BlockedMs > 0) == (m.BlockedMs > 0)
+		})
+	})
+}
+
+func (r *record) encode(now clock.Time) *fleetpb.PartRecord {
+	m := &fleetpb.PartRecord{
+		Part: r.part, Round: r.round, AgeMs: uint32(max(0, now.Sub(r.changedAt))), BlockedMs: uint32(max(0, r.until.Sub(now))), Spans: r.spans,
+	}
+	for _, c := range r.crashes {
+		m.Crashes = append(m.Crashes, &fleetpb.PartCrash{Id: c.id, Request: c.request})
+	}
+	return m
+}
+
+// Merge unites records of another VM with the own ones.
+func (t *Tracker) Merge(now clock.Time, vm string, records []*fleetpb.PartRecord) (events []Event) {
+	var changed []*record
+	for _, m := range records {
+		if m.Part == "" || clock.Duration(m.AgeMs) > recordLifetime && m.BlockedMs == 0 {
+			continue
+		}
+		r := t.record(now, m.Part)
+		if !t.mergeRecord(now, r, m) {
+			continue
+		}
+		r.unsent = true
+		events = append(events, Event{Kind: Learned, Part: r.part, Crashes: len(r.crashes), Requests: r.requests(), VM: vm, Span: max(0, r.until.Sub(now))})
+		if len(r.crashes) > 0 && t.isSound(now, r.part) {
+			events = append(events, t.clear(now, r, "a run with the part survived"))
+			continue
+		}
+		changed = append(changed, r)
+	}
+	t.evict()
+	return append(events, t.judge(now, changed)...)
+}
+
+// mergeRecord merges a record of another VM into the own one, and reports whether that changed it.
+func (t *Tracker) mergeRecord(now clock.Time, r *record, m *fleetpb.PartRecord) (changed bool) {
+	if m.Round < r.round {
+		return false
+	}
+	if m.Round > r.round {
+		r.round, r.crashes, r.until, changed = m.Round, nil, 0, true
+		if len(m.Crashes) == 0 && m.Spans == r.spans {
+			// Another VM cleared the part.
+			t.survived.Set(r.part, now.Add(-clock.Duration(m.AgeMs)))
+		}
+	}
+	for _, c := range m.Crashes {
+		added := crash{id: c.Id, request: c.Request}
+		if (m.BlockedMs > 0 || !t.explainedByOther(added, r.part)) && r.add(added) {
+			changed = true
+		}
+	}
+	if m.BlockedMs > 0 && r.until <= now {
+		r.until, changed = now.Add(clock.Duration(m.BlockedMs)), true
+	}
+	r.spans = max(r.spans, m.Spans)
+	if changed {
+		r.changedAt = max(r.changedAt, now.Add(-clock.Duration(m.AgeMs)))
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/request/quarantine/fleet_test.go
@@ -0,0 +1,161 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/request/quarantine"
+	"github.com/jasminecove/jasminecove/internal/testkit/seeded"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Shape of the simulated fleet and its traffic.
+const (
+	fleetVMs      = 30
+	stepTime      = 100 * clock.Millisecond
+	steps         = 200
+	soundPerStep  = 10
+	harmfulChance = 0.3 // Of a request with the harmful part in a step.
+	lossChance    = 0.1 // Of a message between VMs.
+	topics        = 40
+	bound         = 3 * clock.Second // From the fifth crash until no VM sends harmful requests.
+)
+
+// fleet is a fleet of trackers that exchange records with loss. Requests to it have a part that
+// all share, one of many topics, and some of them a part on which upstreams crash.
+type fleet struct {
+	src       *rng.Source
+	now       clock.Time
+	trackers  []*quarantine.Tracker
+	cut       int // Index of a VM that exchanges nothing, or -1.
+	processes int // Upstream processes that have ended.
+	crashes   int
+	fifth     clock.Time // Time of the fifth crash, 0 before it.
+	late      int        // Harmful requests that were sent too late.
+	refused   int        // Sound requests that were refused.
+}
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{src: rng.New(seed), now: start, cut: -1}
+	for range fleetVMs {
+		f.trackers = append(f.trackers, quarantine.New())
+	}
+	return f
+}
+
+func (f *fleet) soundParts() []string {
+	return []string{"system", fmt.Sprintf("topic-%d", f.src.IntN(topics))}
+}
+
+func (f *fleet) anyVM() int { return f.src.IntN(len(f.trackers)) }
+
+// sound sends one sound request that survives.
+func (f *fleet) sound() {
+	vm, parts := f.trackers[f.anyVM()], f.soundParts()
+	if isBlocked(vm, f.now, parts...) {
+		f.refused++
+		return
+	}
+	vm.RunSurvived(f.now, parts)
+}
+
+// harmful sends one request that crashes its upstream.
+func (f *fleet) harmful() {
+	from, parts := f.anyVM(), append(f.soundParts(), "bad")
+	if isBlocked(f.trackers[from], f.now, parts...) {
+		return
+	}
+	f.crashes++
+	if f.crashes == 5 {
+		f.fifth = f.now
+	}
+	if f.fifth != 0 && f.now.Sub(f.fifth) > bound && from != f.cut {
+		f.late++
+	}
+	upstream := f.endUpstream(6)
+	f.trackers[from].RunBroke(f.now, quarantine.Run{RequestID: fmt.Sprintf("bad-%d", f.crashes), Upstream: upstream, StartedMs: 1, Parts: parts})
+}
+
+// endUpstream ends an upstream under a number of sound runs.
+func (f *fleet) endUpstream(runs int) string {
+	f.processes++
+	upstream := fmt.Sprintf("u-%d", f.processes)
+	for range runs {
+		f.trackers[f.anyVM()].RunBroke(f.now, quarantine.Run{RequestID: fmt.Sprint(f.src.Uint64()), Upstream: upstream, StartedMs: 1, Parts: f.soundParts()})
+	}
+	for _, q := range f.trackers {
+		q.UpstreamEnded(f.now, upstream)
+	}
+	return upstream
+}
+
+// exchange has each VM send its changes to some others, and exchange records with one.
+func (f *fleet) exchange() {
+	for i, q := range f.trackers {
+		records := q.TakeUnsent(f.now, 4)
+		for k := range 4 {
+			f.send(i, (i+1+k*k)%len(f.trackers), records)
+		}
+		if f.src.IntN(int(clock.Second/stepTime)) != 0 {
+			continue
+		}
+		to, next := f.anyVM(), q.Next(f.now)
+		f.send(i, to, next)
+		f.send(to, i, f.trackers[to].Differing(f.now, next))
+	}
+}
+
+func (f *fleet) send(from, to int, records []*fleetpb.PartRecord) {
+	if from != f.cut && to != f.cut && f.src.Float64() >= lossChance {
+		f.trackers[to].Merge(f.now, fmt.Sprint(from), records)
+	}
+}
+
+// restart replaces a VM by one that knows what another one knows.
+func (f *fleet) restart() {
+	at := f.anyVM()
+	peer := f.trackers[(at+1)%len(f.trackers)]
+	f.trackers[at] = quarantine.New()
+	f.trackers[at].Merge(f.now, "peer", peer.All(f.now))
+}
+
+// TestFleetQuarantinesOnlyTheHarmfulPart also ends upstreams for other reasons, cuts a VM off and
+// restarts one.
+func TestFleetQuarantinesOnlyTheHarmfulPart(t *testing.T) {
+	for _, seed := range seeded.Seeds(t, 50) {
+		f := newFleet(seed)
+		for i := range steps {
+			f.now = f.now.Add(stepTime)
+			switch i {
+			case 60:
+				f.cut = f.anyVM()
+			case 120:
+				f.cut = -1
+			case 160:
+				f.restart()
+			}
+			for range soundPerStep {
+				f.sound()
+			}
+			if i > 30 && f.src.Float64() < harmfulChance {
+				f.harmful()
+			}
+			if i%50 == 20 { // A rack is lost.
+				for range 10 {
+					f.endUpstream(4)
+				}
+			}
+			f.exchange()
+		}
+		assert.Assert(t, f.late <= 3, "seed %d: %d harmful requests were sent too late; %d crashes", seed, f.late, f.crashes)
+		assert.Assert(t, f.refused <= steps*soundPerStep/100, "seed %d: %d sound requests were refused", seed, f.refused)
+		for vm, q := range f.trackers {
+			assert.Assert(t, isBlocked(q, f.now, "bad"), "seed %d: VM %d", seed, vm)
+			assert.Assert(t, !isBlocked(q, f.now, "system"), "seed %d: VM %d", seed, vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/quarantine/guard.go
@@ -0,0 +1,157 @@
+package quarantine
+
+import (
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// Log receives the decisions of a Guard.
+type Log interface {
+	Decision(kind, id string, inputs ...any)
+}
+
+// Guard is a Tracker that is safe for concurrent use. It logs and counts the decisions. A nil
+// Guard quarantines nothing.
+type Guard struct {
+	clock   clock.Clock
+	log     Log
+	metrics tally.Scope
+
+	mu      sync.Mutex
+	tracker *Tracker
+	version uint64        // Number of events so far.
+	changed chan struct{} // Signalled when records are to be sent; capacity 1.
+}
+
+// NewGuard returns a Guard that knows of no parts.
+func NewGuard(clk clock.Clock, log Log, metrics tally.Scope) *Guard {
+	return &Guard{clock: clk, log: log, metrics: metrics, tracker: New(), changed: make(chan struct{}, 1)}
+}
+
+// Check returns the longest quarantine of the given parts.
+func (g *Guard) Check(parts []string) (Block, bool) {
+	if g == nil || len(parts) == 0 {
+		return Block{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Check(g.clock.Now(), parts)
+}
+
+// Sound reports whether runs with each of the given parts have survived recently.
+func (g *Guard) Sound(parts []string) bool {
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Sound(g.clock.Now(), parts)
+}
+
+// RunSurvived records that a run with the given parts survived.
+func (g *Guard) RunSurvived(parts []string) {
+	if g == nil || len(parts) == 0 {
+		return
+	}
+	g.update(func(now clock.Time) []Event { return g.tracker.RunSurvived(now, parts) })
+}
+
+// RunBroke records that a run broke before it had survived.
+func (g *Guard) RunBroke(run Run) {
+	if g == nil {
+		return
+	}
+	g.update(func(now clock.Time) []Event { return g.tracker.RunBroke(now, run) })
+}
+
+// UpstreamEnded records that an upstream's process was found to have ended without notice.
+func (g *Guard) UpstreamEnded(upstream string) {
+	if g == nil {
+		return
+	}
+	g.update(func(now clock.Time) []Event { return g.tracker.UpstreamEnded(now, upstream) })
+}
+
+// Merge unites the records of another VM, or of the disk, with the own ones.
+func (g *Guard) Merge(source string, records []*fleetpb.PartRecord) {
+	if g == nil || len(records) == 0 {
+		return
+	}
+	g.update(func(now clock.Time) []Event { return g.tracker.Merge(now, source, records) })
+}
+
+// Tick ends quarantines and forgets records.
+func (g *Guard) Tick() {
+	g.update(g.tracker.Tick)
+}
+
+// TakeUnsent returns the records that changed since they were last returned, to be sent to a
+// number of VMs.
+func (g *Guard) TakeUnsent(vms int) []*fleetpb.PartRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.TakeUnsent(g.clock.Now(), vms)
+}
+
+// Changed is signalled when TakeUnsent has records.
+func (g *Guard) Changed() <-chan struct{} { return g.changed }
+
+// Next returns some records in turn, for an exchange that repairs losses.
+func (g *Guard) Next() []*fleetpb.PartRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Next(g.clock.Now())
+}
+
+// All returns all records.
+func (g *Guard) All() []*fleetpb.PartRecord {
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.All(g.clock.Now())
+}
+
+// Differing returns the records that the sender of some others lacks or has in an older state.
+func (g *Guard) Differing(theirs []*fleetpb.PartRecord) []*fleetpb.PartRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Differing(g.clock.Now(), theirs)
+}
+
+// Version returns a number that grows whenever what the Guard knows has changed.
+func (g *Guard) Version() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.version
+}
+
+// update applies a change and reports its events.
+func (g *Guard) update(change func(now clock.Time) []Event) {
+	g.mu.Lock()
+	events := change(g.clock.Now())
+	g.version += uint64(len(events))
+	quarantined := 0
+	if len(events) > 0 {
+		quarantined = g.tracker.Quarantined(g.clock.Now())
+	}
+	g.mu.Unlock()
+	if len(events) == 0 {
+		return
+	}
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+	g.metrics.Gauge("quarantined_parts").Update(float64(quarantined))
+	for _, e := range events {
+		g.metrics.Tagged(map[string]string{"event": string(e.Kind)}).Counter("part_events_total").Inc(1)
+		g.log.Decision(string(e.Kind), e.Part, "crashes", e.Crashes, "requests", e.Requests, "upstream", e.Upstream, "request", e.RequestID,
+			"vm", e.VM, "reason", e.Reason, "spanMs", int64(e.Span))
+	}
+}
--- /dev/null
+++ b/internal/request/quarantine/quarantine_test.go
@@ -0,0 +1,154 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/request/quarantine"
+)
+
+const start = clock.Time(1_000_000)
+
+// crash has a run of a request break with its upstream.
+func crash(t *quarantine.Tracker, now clock.Time, request, upstream string, parts ...string) {
+	t.RunBroke(now, quarantine.Run{RequestID: request, Upstream: upstream, StartedMs: 1, Parts: parts})
+	t.UpstreamEnded(now, upstream)
+}
+
+func isBlocked(t *quarantine.Tracker, now clock.Time, parts ...string) bool {
+	_, blocked := t.Check(now, parts)
+	return blocked
+}
+
+func ExampleTracker() {
+	t := quarantine.New()
+	for i, upstream := range []string{"a", "b", "c"} {
+		request := fmt.Sprintf("request-%d", i)
+		t.RunSurvived(start, []string{"system"})
+		t.RunBroke(start, quarantine.Run{RequestID: request, Upstream: upstream, StartedMs: 1, Parts: []string{"system", "bad"}})
+		for _, e := range t.UpstreamEnded(start, upstream) {
+			fmt.Println(e.Kind, e.Part, e.Crashes, e.Requests)
+		}
+	}
+	b, blocked := t.Check(start, []string{"system", "bad"})
+	fmt.Println(blocked, b.Part, b.Left)
+	// Output:
+	// partAccused bad 1 1
+	// partAccused bad 2 2
+	// partAccused bad 3 3
+	// partQuarantined bad 3 3
+	// true bad 10m0s
+}
+
+func TestOneRequestIsNoReasonForQuarantine(t *testing.T) {
+	q := quarantine.New()
+	for i := range 5 {
+		crash(q, start, "same", fmt.Sprint(i), "p")
+	}
+	assert.Assert(t, !isBlocked(q, start, "p"))
+	crash(q, start, "other", "5", "p")
+	assert.Assert(t, isBlocked(q, start, "p"))
+}
+
+func TestBreakWithoutEndOfUpstreamDoesNotAccuse(t *testing.T) {
+	q := quarantine.New()
+	for i := range 5 {
+		upstream := fmt.Sprint(i)
+		q.RunBroke(start, quarantine.Run{RequestID: upstream, Upstream: upstream, StartedMs: 1, Parts: []string{"p"}})
+		q.UpstreamEnded(start.Add(6*clock.Second), upstream)
+	}
+	assert.Assert(t, !isBlocked(q, start.Add(6*clock.Second), "p"))
+}
+
+func TestSurvivorClearsPart(t *testing.T) {
+	q := quarantine.New()
+	for i := range 3 {
+		crash(q, start, fmt.Sprint(i), fmt.Sprint(i), "p")
+	}
+	assert.Assert(t, isBlocked(q, start, "p"))
+	q.RunSurvived(start, []string{"p"})
+	assert.Assert(t, !isBlocked(q, start, "p"))
+	for i := range 5 { // Many upstreams end at once, as in the loss of a rack.
+		crash(q, start.Add(4*clock.Second), fmt.Sprint(i), fmt.Sprint(10+i), "p")
+	}
+	assert.Assert(t, !isBlocked(q, start.Add(4*clock.Second), "p"))
+}
+
+func TestQuarantinedPartExplainsCrashesOfOthers(t *testing.T) {
+	q := quarantine.New()
+	for i := range 3 {
+		crash(q, start, fmt.Sprint(i), fmt.Sprint(i), "bad")
+		crash(q, start, fmt.Sprint(10+i), fmt.Sprint(i), "rare")
+	}
+	assert.Assert(t, isBlocked(q, start, "bad"))
+	assert.Assert(t, !isBlocked(q, start, "rare"), "a part whose runs were on the same upstreams")
+	for i := range 3 {
+		crash(q, start, fmt.Sprint(20+i), fmt.Sprint(20+i), "worse")
+	}
+	assert.Assert(t, isBlocked(q, start, "worse"), "a second part that crashes upstreams")
+}
+
+func TestInseparablePartsAreSeparatedByTheNextCrash(t *testing.T) {
+	q := quarantine.New()
+	for i := range 3 {
+		crash(q, start, fmt.Sprint(i), fmt.Sprint(i), "bad", "rare")
+	}
+	assert.Assert(t, isBlocked(q, start, "bad"))
+	crash(q, start, "3", "3", "bad") // Was in flight.
+	assert.Assert(t, isBlocked(q, start, "bad"))
+	assert.Assert(t, !isBlocked(q, start, "rare"))
+}
+
+func TestQuarantineEndsAndLastsLongerEachTime(t *testing.T) {
+	q := quarantine.New()
+	now := start
+	for i := range 3 {
+		crash(q, now, fmt.Sprint(i), fmt.Sprint(i), "p")
+	}
+	for i, want := range []clock.Duration{10 * clock.Minute, 20 * clock.Minute, 40 * clock.Minute} {
+		b, _ := q.Check(now, []string{"p"})
+		assert.Equal(t, b.Left, want)
+		now = now.Add(want)
+		q.Tick(now)
+		assert.Assert(t, !isBlocked(q, now, "p"))
+		crash(q, now, "again", fmt.Sprint(10+i), "p")
+	}
+	b, _ := q.Check(now, []string{"p"})
+	now = now.Add(b.Left)
+	q.Tick(now)
+	q.Tick(now.Add(11 * clock.Minute))
+	assert.Equal(t, len(q.All(now)), 0, "a part without crashes is forgotten")
+}
+
+func TestMemoryAndBytesAreBounded(t *testing.T) {
+	q := quarantine.New()
+	sent := 0
+	const rounds = 2_000
+	for i := range rounds {
+		now := start.Add(clock.Duration(i))
+		for j := range 3 {
+			crash(q, now, fmt.Sprint(i, j), fmt.Sprint(i, j), fmt.Sprintf("part-%d", i))
+		}
+		q.Tick(now)
+		for _, r := range q.TakeUnsent(now, 10) {
+			sent += 10 * proto.Size(r)
+		}
+	}
+	assert.Assert(t, len(q.All(start)) <= 256)
+	const burst, perSecond = 32 << 10, 1000
+	assert.Assert(t, sent <= burst+perSecond*rounds/1000, "%d bytes sent", sent)
+	all := 0
+	for _, r := range q.All(start) {
+		all += proto.Size(r)
+	}
+	assert.Assert(t, all < 64<<10, "%d bytes in all records", all)
+	next := 0
+	for _, r := range q.Next(start) {
+		next += proto.Size(r)
+	}
+	assert.Assert(t, next < 2000, "%d bytes in an exchange", next)
+}
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -44,6 +44,7 @@
 	FingerprintMismatch Kind = "fingerprintMismatch"
 	BookingUnknown      Kind = "bookingUnknown"
 	ControlUnavailable  Kind = "controlUnavailable"
+	Quarantined         Kind = "quarantined"
 	Draining            Kind = "draining"
 	NotReady            Kind = "notReady"
 	Internal            Kind = "internal"
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -27,6 +27,7 @@
 	Leaving []string          // Upstreams that began to leave.
 	Ended   []string          // Upstreams that were removed or restarted, or whose lease ran out.
 	Dead    []string          // Upstreams that were found dead.
+	Crashed []string          // Those of Ended whose next process is known and that had not begun to leave.
 	// Vacating are engines around which requests are to be led.
 	Vacating []string
 }
@@ -185,6 +186,9 @@
 		delete(c.watchers, current.Id)
 		change.Ended = append(change.Ended, current.Id)
 		change.Joined = append(change.Joined, current.Id)
+		if !previous.Leaving {
+			change.Crashed = append(change.Crashed, current.Id)
+		}
 	case current.Leaving && !previous.Leaving:
 		change.Leaving = append(change.Leaving, current.Id)
 		c.leavingSince[current.Id] = c.clock.Now()
@@ -199,6 +203,9 @@
 			c.registry.End(c.clock.Now(), u.Id)
 			delete(c.health, u.Id)
 			change.Ended = append(change.Ended, u.Id)
+			if !u.Leaving {
+				change.Crashed = append(change.Crashed, u.Id)
+			}
 		}
 	}
 }
@@ -288,6 +295,20 @@
 	return c.registry.Get(id)
 }
 
+// StartTimes returns when the processes of the given upstreams started, as Unix times in ms, or 0
+// for unknown ones.
+func (c *Catalog) StartTimes(ids []string) []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]uint64, len(ids))
+	for i, id := range ids {
+		if u, ok := c.registry.Get(id); ok {
+			out[i] = u.StartedMs
+		}
+	}
+	return out
+}
+
 // Version returns a counter that is incremented whenever an upstream changes in a way
 // that affects routing.
 func (c *Catalog) Version() uint64 {
