--- a/internal/request/forward/dialect.go
+++ b/internal/request/forward/dialect.go
@@ -33,6 +33,7 @@
 	Integrity    string // Set by upstreams on every genuine response.
 	NotRun       string // Set by upstreams that rejected a request without running it.
 	FaultyEngine string // Set by engines: address of the engine at fault.
+	RateLimit    string // Set by upstreams in need: requests a second that they take from all VMs together.
 	// FormatPath encodes a path for the Path header.
 	FormatPath func(hops []chain.Hop) string
 }
@@ -44,7 +45,7 @@
 		TokenCounts: "Jasminecove-Tokens", AnswerHint: "Jasminecove-Answer-Hint", PromptParts: "Jasminecove-Prompt-Parts", Key: "Authorization", KeyScheme: "Bearer",
 		Organisation: "Jasminecove-Organisation", Upstream: "Jasminecove-Upstream", Path: "Jasminecove-Path",
 		Urgency: "Jasminecove-Urgency", Integrity: "Jasminecove-Integrity", NotRun: "Jasminecove-Not-Run",
-		FaultyEngine: "Jasminecove-Culprit", FormatPath: FormatPath,
+		FaultyEngine: "Jasminecove-Culprit", RateLimit: "Jasminecove-Rate-Limit", FormatPath: FormatPath,
 	}
 }
 
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -133,6 +133,7 @@
 		return result{notRun: errors.Is(err, call.ErrNotSent), err: err}
 	}
 	defer a.Close()
+	p.h.recordRateLimit(u.ID, p.x.ID, a)
 	body, free, err := p.h.buffers.readAll(a)
 	out := result{status: a.Status, header: a.Header, body: body, notRun: d.notRun(a.Status, a.Header), framed: a.Framed, err: err, release: free}
 	if err == nil && out.status < http.StatusMultipleChoices && a.Header.Get(d.Integrity) == "" {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -264,6 +264,7 @@
 		return runResult{notRun: errors.Is(err, call.ErrNotSent), cause: causeOf(ctx, err)}
 	}
 	defer a.Close()
+	s.h.recordRateLimit(t.id, s.x.ID, a)
 	if a.Status >= http.StatusMultipleChoices || a.Header.Get(d.Integrity) == "" {
 		return s.handleFailure(ctx, a)
 	}
