Keep requests within the rate limits that upstreams name, over all VMs

Cause: the header was forwarded and not read; a VM sent by memory, slots and pace alone, and nothing split a limit over the VMs. Class: a bound of a shared resource that each sender would have to know and share. Ruled out: forgetting at the restart (the excess is there before it).

Change: each response names or lifts the limit of its upstream; the newest word wins, one process of an upstream does not speak for the next, and a response to a request sent before a limit was named does not lift it. VMs report changes, and others in turn, beside the load. A limit is split over the VMs that have not left; if it is too low for all, over so few that their buckets together stay within what the upstream takes in 1.5 s. Each send counts, repeats and resumed runs too; a path that a running request changes to does not. An engine without a token is not the first of a path. If only limits stand in the way, a request is refused at once with the time until this VM may send again, unless that comes while it may wait.

--- a/internal/fleet/loadsum/loadsum.go
+++ b/internal/fleet/loadsum/loadsum.go
@@ -8,16 +8,24 @@
 package loadsum
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/rendezvous"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
 // Lifetime is how long a report or a sum counts.
 const Lifetime = 3 * clock.Second
 
+// Rate limits of upstreams in one sum.
+const (
+	maxChangedLimits = 8
+	maxOtherLimits   = 2
+)
+
 // Choose returns the VM that collects the reports of a data centre, out of its live VMs. It
 // skips VMs for which avoid returns true, unless there is no other.
 func Choose(dataCentre string, vms []string, avoid func(vm string) bool) string {
@@ -38,6 +46,7 @@
 	reports    map[string]report // By VM.
 	own        map[string]load   // Sum of the reports, by upstream.
 	others     map[string]sum    // By data centre.
+	nextLimit  int               // Where the turn of unchanged limits goes on.
 }
 
 // load is what requests hold on one upstream.
@@ -50,6 +59,7 @@
 	boot, sequence uint64
 	holds          []*fleetpb.Hold
 	slow           []*fleetpb.Slow
+	limits         []*fleetpb.RateLimit
 	rate           float32
 }
 
@@ -71,7 +81,7 @@
 	}
 	c.add(previous.holds, -1)
 	c.add(o.Holds, 1)
-	c.reports[vm] = report{at: now, boot: o.Boot, sequence: o.Sequence, holds: o.Holds, slow: o.Slow, rate: o.Rate}
+	c.reports[vm] = report{at: now, boot: o.Boot, sequence: o.Sequence, holds: o.Holds, slow: o.Slow, limits: o.Limits, rate: o.Rate}
 }
 
 // add adds holds to the sum, or subtracts them if sign is -1.
@@ -111,12 +121,35 @@
 		out.Slow = append(out.Slow, r.slow...)
 		out.Rate += r.rate
 	}
+	out.Limits = c.limits(now)
 	for id, l := range c.own {
 		out.Holds = append(out.Holds, &fleetpb.Hold{Upstream: id, Requests: uint32(l.requests), Tokens: uint64(l.tokens)})
 	}
 	return out
 }
 
+// limits returns the newest reports of upstreams' rate limits: those that changed lately, and some
+// others in turn.
+func (c *Collector) limits(now clock.Time) []*fleetpb.RateLimit {
+	newest := map[string]*fleetpb.RateLimit{}
+	for _, r := range c.reports {
+		age := uint32(max(0, now.Sub(r.at)))
+		for _, l := range r.limits {
+			if n := newest[l.Upstream]; n != nil && n.AgeMs <= l.AgeMs+age {
+				continue
+			}
+			newest[l.Upstream] = &fleetpb.RateLimit{
+				Upstream: l.Upstream, StartedMs: l.StartedMs, Rate: l.Rate, Lifted: l.Lifted, AgeMs: l.AgeMs + age, UnchangedMs: l.UnchangedMs + age,
+			}
+		}
+	}
+	all := make([]*fleetpb.RateLimit, 0, len(newest))
+	for _, id := range slices.Sorted(maps.Keys(newest)) {
+		all = append(all, newest[id])
+	}
+	return ratecap.Select(all, maxChangedLimits, maxOtherLimits, &c.nextLimit)
+}
+
 // All returns the sums of all data centres.
 func (c *Collector) All(now clock.Time) []*fleetpb.LoadSum {
 	out := []*fleetpb.LoadSum{c.Own(now)}
@@ -125,7 +158,7 @@
 			delete(c.others, dc)
 			continue
 		}
-		out = append(out, &fleetpb.LoadSum{DataCentre: dc, Vms: s.Vms, Holds: s.Holds, Slow: s.Slow, Rate: s.Rate, AgeMs: uint32(now.Sub(s.at))})
+		out = append(out, &fleetpb.LoadSum{DataCentre: dc, Vms: s.Vms, Holds: s.Holds, Slow: s.Slow, Limits: s.Limits, Rate: s.Rate, AgeMs: uint32(now.Sub(s.at))})
 	}
 	return out
 }
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -340,15 +342,17 @@
 // may still be serving requests.
 func (r *Router) vms() int { return max(1, int(r.vmCount.Load())) }
 
-// countVMs counts the VMs that have not left.
+// countVMs counts the VMs that have not left, and splits the rate limits of upstreams among them.
 func (r *Router) countVMs() {
-	n := int64(0)
+	var vms []string
 	for _, m := range r.plane.Members() {
 		if m.State != fleetpb.Member_LEFT {
-			n++
+			vms = append(vms, m.Vm)
 		}
 	}
-	r.vmCount.Store(n)
+	r.vmCount.Store(int64(len(vms)))
+	slices.Sort(vms)
+	r.catalog.SetVMs(vms)
 }
 
 func (r *Router) upstreamsChanged(c catalog.Change) {
@@ -369,6 +373,9 @@
 		r.log.Decision("upstreamDead", id)
 		r.quarantine.UpstreamEnded(id)
 	}
+	for _, id := range slices.Sorted(maps.Keys(c.RateLimits)) {
+		r.log.Decision("upstreamRateLimit", id, "rate", c.RateLimits[id].Rate, "was", c.RateLimits[id].Was, "reported", true)
+	}
 	for _, id := range c.Crashed {
 		r.quarantine.UpstreamEnded(id)
 	}
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
 	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
 
@@ -30,6 +32,11 @@
 	busyDelay = 60 * clock.Millisecond
 	// noCapacityRetryAfter is the Retry-After value for a pool without capacity.
 	noCapacityRetryAfter = 300 * clock.Millisecond
+	// limitWaitFraction is the fraction of the route's objective for which a call may wait until the
+	// rate limits of upstreams allow it. limitSpread is the range of times at which calls that are
+	// refused for the limits return.
+	limitWaitFraction = 0.5
+	limitSpread       = 700 * clock.Millisecond
 )
 
 // plainCall is a call whose response is passed on once it is complete.
@@ -72,7 +79,7 @@
 		if err := p.h.checkQuarantine(p.x); err != nil {
 			return p.fail(last, err)
 		}
-		u, err := p.h.cfg.Catalog.Pick(pool, p.h.cfg.DataCentre, p.exclude)
+		u, err := p.pick(ctx)
 		if err != nil {
 			return p.fail(last, err)
 		}
@@ -103,6 +110,22 @@
 	}
 }
 
+// pick returns an upstream. If all name rate limits, it waits for a part of the route's objective
+// until one may get a request.
+func (p *plainCall) pick(ctx context.Context) (catalog.Choice, error) {
+	until := time.Now().Add(time.Duration(limitWaitFraction * float64(p.x.Forward.Route.Objective.Std())))
+	for {
+		u, err := p.h.cfg.Catalog.Pick(p.x.Forward.Pool, p.h.cfg.DataCentre, p.exclude)
+		var limited *ratecap.UsedUpError
+		if !errors.As(err, &limited) || time.Now().Add(limited.Wait.Std()).After(until) {
+			return u, err
+		}
+		if err := delay.Wait(ctx, limited.Wait.Std()); err != nil {
+			return u, err
+		}
+	}
+}
+
 // judge records what the result of an attempt says of the prompt's parts.
 func (p *plainCall) judge(a result) {
 	switch {
@@ -125,6 +148,8 @@
 	defer release()
 	d := &p.h.cfg.Dialect
 	head := d.requestHead(p.x.R, len(p.x.Body), attemptHeaders{upstream: u.ID, organisation: p.x.Organisation, remaining: remaining(p.x), urgency: -1})
+	sentAt := p.h.cfg.Clock.Now()
+	p.h.cfg.Catalog.CountSend(u.ID)
 	a, err := p.h.cfg.Pool.Do(ctx, u.Address, call.Request{
 		Method: p.x.R.Method, Head: head, Body: p.x.Body, IDHeader: d.RequestID, ID: p.x.ID,
 		Fresh: !route.Repeatable(p.x.R.Method),
@@ -133,7 +158,7 @@
 		return result{notRun: errors.Is(err, call.ErrNotSent), err: err}
 	}
 	defer a.Close()
-	p.h.recordRateLimit(u.ID, p.x.ID, a)
+	p.h.recordRateLimit(u.ID, p.x.ID, sentAt, a)
 	body, free, err := p.h.buffers.readAll(a)
 	out := result{status: a.Status, header: a.Header, body: body, notRun: d.notRun(a.Status, a.Header), framed: a.Framed, err: err, release: free}
 	if err == nil && out.status < http.StatusMultipleChoices && a.Header.Get(d.Integrity) == "" {
@@ -218,6 +243,9 @@
 		}
 		return refusal.New(refusal.UpstreamFailed, http.StatusBadGateway, "the upstream's answer was lost").WithOutcome(refusal.Unknown).WithCause(cause)
 	}
+	if isLimited(cause) {
+		return p.h.refuseLimited(cause, noCapacityRetryAfter+clock.Duration(p.h.random()*float64(limitSpread)))
+	}
 	kind := refusal.Overloaded
 	if errors.Is(cause, catalog.ErrNoUpstream) && len(p.exclude) == 0 {
 		kind = refusal.NoUpstream
--- /dev/null
+++ b/internal/request/forward/ratelimit_test.go
@@ -0,0 +1,114 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const limitHeader = "Jasminecove-Rate-Limit: %s\r\n"
+
+// limitedEvents answers like events, and names a limit.
+func limitedEvents(limit string, last, stop int) func(*upstream, net.Conn, *http.Request) {
+	return func(u *upstream, c net.Conn, r *http.Request) {
+		events(last, stop)(u, headerConn{c, fmt.Sprintf(limitHeader, limit)}, r)
+	}
+}
+
+// headerConn adds a header to the first response written to it.
+type headerConn struct {
+	net.Conn
+	header string
+}
+
+// Write implements net.Conn.
+func (c headerConn) Write(data []byte) (int, error) {
+	text := strings.Replace(string(data), integrity, integrity+c.header, 1)
+	if _, err := c.Conn.Write([]byte(text)); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
+// TestRateLimitRefusesAtOnce has the only engine name a limit that leaves no other request for
+// seconds. A second one that is free takes all.
+func TestRateLimitRefusesAtOnce(t *testing.T) {
+	f := newFixture(t)
+	e1 := f.start(t, "e1", "crew", 0, 8, limitedEvents("0.3", 3, 0))
+	resp, _, err := f.do(t, "GET", "/draft/1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	began := time.Now()
+	resp, body, err := f.do(t, "GET", "/draft/1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, body)
+	assert.Assert(t, strings.Contains(body, "urn:jasminecove:problem:upstreamLimit") && strings.Contains(body, `"notRun"`), body)
+	assert.Assert(t, resp.Header.Get("Retry-After") >= "3", resp.Header.Get("Retry-After"))
+	assert.Assert(t, time.Since(began) < 100*time.Millisecond, "refused after %s", time.Since(began))
+	assert.Equal(t, e1.runs(), 1)
+	e2 := f.start(t, "e2", "crew", 0, 8, events(3, 0))
+	for range 5 {
+		resp, body, err = f.do(t, "GET", "/draft/1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	}
+	assert.Equal(t, e1.runs(), 1)
+	assert.Equal(t, e2.runs(), 5)
+}
+
+// TestRateLimitCountsResumedRuns has an engine break its streams. The limit that it names also keeps
+// it from the runs that resume them.
+func TestRateLimitCountsResumedRuns(t *testing.T) {
+	f := newFixture(t)
+	e1 := f.start(t, "e1", "crew", 0, 8, func(_ *upstream, c net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nJasminecove-Request-Id: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Jasminecove-Request-Id"), integrity+fmt.Sprintf(limitHeader, "0.3"))
+		_, _ = io.WriteString(c, "f\r\nid: 1\ndata: x\n\n\r\n")
+		_ = c.Close()
+	})
+	_, body, err := f.do(t, "GET", "/draft/1", "")
+	assert.Assert(t, err != nil, "complete without a second run: %s", body)
+	assert.Equal(t, e1.runs(), 1)
+}
+
+// TestRateLimitCountsRepeats has a service fail repeatable calls.
+func TestRateLimitCountsRepeats(t *testing.T) {
+	f := newFixture(t)
+	var all []*upstream
+	for i := range 2 {
+		all = append(all, f.start(t, fmt.Sprintf("u%d", i), "desk", 0, 0, func(_ *upstream, c net.Conn, r *http.Request) {
+			respond(c, r, 500, integrity+fmt.Sprintf(limitHeader, "0.3"), "no")
+		}))
+	}
+	for range 4 {
+		_, _, err := f.do(t, "GET", "/look/1", "")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, all[0].runs(), 1)
+	assert.Equal(t, all[1].runs(), 1)
+}
+
+// TestRateLimitEndsWithTheNextResponse has an engine name a limit once.
+func TestRateLimitEndsWithTheNextResponse(t *testing.T) {
+	f := newFixture(t)
+	named := false
+	e1 := f.start(t, "e1", "crew", 0, 8, func(u *upstream, c net.Conn, r *http.Request) {
+		if !named {
+			named = true
+			limitedEvents("5", 3, 0)(u, c, r)
+			return
+		}
+		events(3, 0)(u, c, r)
+	})
+	for range 12 {
+		resp, body, err := f.do(t, "GET", "/draft/1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+	}
+	assert.Equal(t, e1.runs(), 12)
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -16,6 +16,7 @@
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
 
@@ -184,6 +185,7 @@
 	if s.headWritten || s.runs > 0 {
 		wait = resumeTimeout
 	}
+	waitsUntil := time.Now().Add(wait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	poll := time.NewTicker(pathPollInterval)
@@ -203,6 +205,10 @@
 			clear(s.exclude)
 			continue
 		}
+		var limited *ratecap.UsedUpError
+		if errors.As(err, &limited) && !s.headWritten && s.runs == 0 && time.Now().Add(limited.Wait.Std()).After(waitsUntil) {
+			return nil, err
+		}
 		if errors.Is(err, chain.ErrMissingLayers) && !s.headWritten && s.runs == 0 && s.gapRemains(wait) {
 			return nil, err
 		}
@@ -256,6 +262,8 @@
 	if s.lastEvent > 0 {
 		headers.lastEvent = strconv.FormatInt(s.lastEvent, 10)
 	}
+	sentAt := s.h.cfg.Clock.Now()
+	s.h.cfg.Catalog.CountSend(t.id)
 	a, err := s.h.cfg.Pool.Do(ctx, t.address, call.Request{
 		Method: s.x.R.Method, Head: d.requestHead(s.x.R, len(s.x.Body), headers), Body: s.x.Body, IDHeader: d.RequestID, ID: s.x.ID,
 		Fresh: !s.x.Forward.Route.Events.Resumable,
@@ -264,7 +272,7 @@
 		return runResult{notRun: errors.Is(err, call.ErrNotSent), cause: causeOf(ctx, err)}
 	}
 	defer a.Close()
-	s.h.recordRateLimit(t.id, s.x.ID, a)
+	s.h.recordRateLimit(t.id, s.x.ID, sentAt, a)
 	if a.Status >= http.StatusMultipleChoices || a.Header.Get(d.Integrity) == "" {
 		return s.handleFailure(ctx, a)
 	}
@@ -450,6 +458,8 @@
 		return refusal.New(refusal.UpstreamFailed, http.StatusBadGateway, "the answer could not be completed").WithOutcome(refusal.Unknown).WithCause(cause)
 	case errors.Is(cause, errQuarantined):
 		return cause
+	case isLimited(cause):
+		return s.h.refuseLimited(cause, s.retryAfter(true))
 	case errors.Is(cause, chain.ErrMissingLayers), errors.Is(cause, catalog.ErrNoUpstream):
 		return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "no path runs every layer").WithRetryAfter(s.retryAfter(false)).WithCause(cause)
 	case errors.Is(cause, chain.ErrFull):
--- a/internal/request/forward/target.go
+++ b/internal/request/forward/target.go
@@ -110,7 +110,7 @@
 		return false
 	}
 	p, release, err := s.h.cfg.Catalog.ChoosePath(s.x.Forward.Pool, chain.Request{
-		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: map[string]bool{around: true}, AllowedFirst: map[string]bool{t.id: true}, Draw: s.h.random(),
+		Prompt: s.promptTokens, Answer: s.answerTokens, DataCentre: s.h.cfg.DataCentre, Exclude: map[string]bool{around: true}, AllowedFirst: map[string]bool{t.id: true}, Running: true, Draw: s.h.random(),
 	})
 	if err != nil {
 		return false
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -45,6 +45,7 @@
 	BookingUnknown      Kind = "bookingUnknown"
 	ControlUnavailable  Kind = "controlUnavailable"
 	Quarantined         Kind = "quarantined"
+	UpstreamLimit       Kind = "upstreamLimit"
 	Draining            Kind = "draining"
 	NotReady            Kind = "notReady"
 	Internal            Kind = "internal"
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/fleet/registry"
 	"github.com/jasminecove/jasminecove/internal/routing/lookup"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
@@ -28,6 +29,8 @@
 	Ended   []string          // Upstreams that were removed or restarted, or whose lease ran out.
 	Dead    []string          // Upstreams that were found dead.
 	Crashed []string          // Those of Ended whose next process is known and that had not begun to leave.
+	// RateLimits are changes of upstreams' rate limits that other VMs reported.
+	RateLimits map[string]ratecap.Change
 	// Vacating are engines around which requests are to be led.
 	Vacating []string
 }
@@ -59,6 +62,7 @@
 	rate          rate
 	loadsAt       clock.Time // When the newest report of other VMs' load was received.
 	ahead         ahead
+	limits        *ratecap.Limiter
 	leavingSince  map[string]clock.Time // When each leaving upstream began to leave, as far as this VM knows.
 	durations     map[string]float64    // Mean expected duration of this VM's requests on each engine, in ms.
 }
@@ -76,7 +80,7 @@
 // without holding locks.
 func New(vm string, clk clock.Clock, maxLease clock.Duration, onChange func(Change), opts ...Option) *Catalog {
 	c := &Catalog{
-		clock: clk, vm: vm, onChange: onChange,
+		clock: clk, vm: vm, onChange: onChange, limits: ratecap.New(vm),
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*otherUsage{},
 		views: map[string]*poolView{}, capacityFreed: make(chan struct{}),
@@ -244,6 +248,7 @@
 	}
 	c.lastTick = now
 	ended := c.registry.Expire(now)
+	c.limits.Prune(func(id string) bool { _, live := c.registry.Get(id); return live })
 	change := Change{Digests: ended}
 	for _, d := range ended {
 		delete(c.health, d.Id)
--- a/internal/routing/catalog/choose.go
+++ b/internal/routing/catalog/choose.go
@@ -10,6 +10,7 @@
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/fleet/registry"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 )
 
 // Errors returned by Pick.
@@ -61,11 +62,18 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	best, bestCost, bestPaused := Choice{}, 0.0, false
+	var limitedFor clock.Duration // Until the first limited upstream may get a request.
 	reports := c.validReports(now)
 	for _, u := range c.view(p) {
 		if u.Leaving || exclude[u.Id] {
 			continue
 		}
+		if wait := c.limits.Wait(now, u.Id); wait > 0 {
+			if limitedFor == 0 || wait < limitedFor {
+				limitedFor = wait
+			}
+			continue
+		}
 		slots := max(1, float64(u.Slots))
 		cost := (float64(c.usageOf(u.Id, reports, 1).requests)+1)/slots + faultCost*c.faultShare(u.Id)
 		if u.DataCentre != home {
@@ -79,6 +87,9 @@
 			best, bestCost, bestPaused = Choice{ID: u.Id, Address: u.Address}, cost, paused
 		}
 	}
+	if best.ID == "" && limitedFor > 0 {
+		return best, &ratecap.UsedUpError{Wait: limitedFor}
+	}
 	if best.ID == "" {
 		return best, ErrNoUpstream
 	}
@@ -103,6 +114,9 @@
 		// A paused engine is better than a layer without any engine.
 		path, err = chain.Choose(m, c.engines(p, r.Exclude, assumption{paused: true, senders: 1}), r)
 	}
+	if errors.Is(err, chain.ErrFull) {
+		err = c.limitedOnly(m, c.engines(p, r.Exclude, assumption{paused: true, senders: 1}), r, now, err)
+	}
 	if err != nil {
 		return path, nil, err
 	}
@@ -167,6 +181,7 @@
 		e.Margin = missing.deviation*usualTokens*float64(to-from) + missing.taken*max(0, e.Capacity-e.Used)
 		if from == 0 {
 			e.FirstHopRequests = used.requests
+			e.NoFirst = c.limits.Wait(now, u.Id) > 0
 		}
 		out = append(out, e)
 	}
--- /dev/null
+++ b/internal/routing/catalog/limit.go
@@ -0,0 +1,84 @@
+package catalog
+
+import (
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
+	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
+)
+
+// SetVMs sets the names of the VMs that share the rate limits of upstreams.
+func (c *Catalog) SetVMs(vms []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits.SetVMs(vms)
+}
+
+// RecordRateLimit records that a response of an upstream names a rate limit, in requests per second
+// from all VMs together.
+func (c *Catalog) RecordRateLimit(id string, rate float64) ratecap.Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u, live := c.registry.Get(id)
+	if !live {
+		return ratecap.Change{}
+	}
+	return c.limits.Named(c.clock.Now(), id, u.StartedMs, rate)
+}
+
+// RecordNoRateLimit records that a response to a request sent at a given time names no rate limit.
+func (c *Catalog) RecordNoRateLimit(id string, sentAt clock.Time) ratecap.Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.NotNamed(c.clock.Now(), sentAt, id)
+}
+
+// CountSend counts a request to an upstream towards its rate limit, if it names one.
+func (c *Catalog) CountSend(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits.Take(c.clock.Now(), id)
+}
+
+// LimitedUpstreams returns the number of upstreams that name a rate limit.
+func (c *Catalog) LimitedUpstreams() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.Limited()
+}
+
+// mergeLimits records the rate limits that another VM reported ageMs ago.
+func (c *Catalog) mergeLimits(limits []*fleetpb.RateLimit, ageMs uint32) {
+	if len(limits) == 0 {
+		return
+	}
+	c.mu.Lock()
+	changes := c.limits.Merge(c.clock.Now(), limits, ageMs)
+	c.mu.Unlock()
+	if len(changes) > 0 && c.onChange != nil {
+		c.onChange(Change{RateLimits: changes})
+	}
+}
+
+// limitedOnly returns the ratecap.UsedUpError if a request finds no path only because of rate limits, and
+// err otherwise.
+func (c *Catalog) limitedOnly(m chain.Model, engines []chain.Engine, r chain.Request, now clock.Time, err error) error {
+	var wait clock.Duration
+	open := make([]chain.Engine, len(engines))
+	for i, e := range engines {
+		if e.NoFirst {
+			if w := c.limits.Wait(now, e.ID); wait == 0 || w < wait {
+				wait = w
+			}
+		}
+		e.NoFirst = false
+		open[i] = e
+	}
+	if wait == 0 {
+		return err
+	}
+	if _, openErr := chain.Choose(m, open, r); openErr != nil {
+		return err
+	}
+	return &ratecap.UsedUpError{Wait: wait}
+}
--- a/internal/routing/catalog/occupancy.go
+++ b/internal/routing/catalog/occupancy.go
@@ -95,6 +95,7 @@
 	o.Unreachable = c.deadToReport(now)
 	o.Placed = c.placementsToReport(now)
 	o.Slow = c.pacesToReport(now)
+	o.Limits = c.limits.Report(now)
 	o.Rate, o.DataCentre = float32(c.rate.now(now)*msPerSecond), c.dataCentre
 	o.Vacate = c.vacatedToReport(now)
 	slices.SortFunc(o.Holds, func(a, b *fleetpb.Hold) int { return strings.Compare(a.Upstream, b.Upstream) })
@@ -114,6 +115,7 @@
 	if o.FindingsOnly {
 		return
 	}
+	c.mergeLimits(o.Limits, 0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.mergePaces(o.Slow, 0)
@@ -145,6 +147,9 @@
 // MergeLoads replaces the load of other VMs by the sums over data centres. The sum of this VM's
 // own data centre includes its report.
 func (c *Catalog) MergeLoads(report *fleetpb.Occupancy, sums []*fleetpb.LoadSum) {
+	for _, s := range sums {
+		c.mergeLimits(s.Limits, s.AgeMs)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -60,6 +60,7 @@
 	Margin           float64 // Part of it that requests not known yet may use.
 	Requests         int     // Requests whose path includes the engine.
 	FirstHopRequests int     // Requests whose path starts at the engine.
+	NoFirst          bool    // No new request may start at the engine at present.
 	// Slowdown multiplies the cost of the engine when paths are compared. It is above 1
 	// for engines whose paths were slower than estimated; values below 1 count as 1.
 	Slowdown float64
@@ -92,6 +93,8 @@
 	Exclude map[string]bool
 	// Draw is a random number in [0, 1), by which VMs that know the same load choose differently.
 	Draw float64
+	// Running is set for a request that already runs on its first engine, which gets no new request.
+	Running bool
 	// AllowedFirst is the set of engines that the path may begin with; nil allows any.
 	AllowedFirst map[string]bool
 }
@@ -303,6 +306,9 @@
 
 // fits reports whether an engine has enough slots and memory for the request.
 func (s *search) fits(e *Engine, from, to int, first bool) bool {
+	if first && e.NoFirst && !s.r.Running {
+		return false
+	}
 	if first && s.m.Slots > 0 && e.FirstHopRequests >= s.m.Slots {
 		return false
 	}
--- /dev/null
+++ b/internal/routing/ratecap/limiter_test.go
@@ -0,0 +1,161 @@
+package ratecap_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
+	"github.com/jasminecove/jasminecove/internal/testkit/seeded"
+)
+
+const start = clock.Time(1_000_000)
+
+func ExampleLimiter() {
+	l := ratecap.New("vm-1")
+	l.SetVMs([]string{"vm-1", "vm-2"})
+	l.Named(start, "engine", 1, 4)
+	fmt.Println(l.Wait(start, "engine"))
+	later := start.Add(clock.Second)
+	fmt.Println(l.Wait(later, "engine"))
+	l.Take(later, "engine")
+	fmt.Println(l.Wait(later, "engine"))
+	fmt.Println(l.NotNamed(later.Add(1), later, "engine"))
+	fmt.Println(l.Wait(later, "engine"))
+	// Output:
+	// 501ms
+	// 0s
+	// 501ms
+	// {0 4 true}
+	// 0s
+}
+
+func TestParseRate(t *testing.T) {
+	for text, want := range map[string]float64{"7.6": 7.6, " 10 ": 10, "0": 0, "1e2": 100} {
+		rate, ok := ratecap.ParseRate(text)
+		assert.Assert(t, ok, text)
+		assert.Equal(t, rate, want)
+	}
+	for _, text := range []string{"", "x", "-1", "NaN", "+Inf", "1e9", "3,5"} {
+		_, ok := ratecap.ParseRate(text)
+		assert.Assert(t, !ok, text)
+	}
+}
+
+// TestResponseToEarlierRequestLiftsNoLimit has a response without a limit overtake.
+func TestResponseToEarlierRequestLiftsNoLimit(t *testing.T) {
+	l := ratecap.New("vm")
+	l.Named(start, "engine", 1, 4)
+	assert.Assert(t, !l.NotNamed(start.Add(100), start.Add(-50), "engine").Changed)
+	assert.Assert(t, l.Wait(start.Add(100), "engine") > 0)
+	assert.Assert(t, l.Named(start.Add(200), "engine", 2, 8).Changed, "a later process of the upstream")
+	l.Named(start.Add(300), "engine", 1, 1)
+	assert.Equal(t, l.NotNamed(start.Add(500), start.Add(400), "engine").Was, 8.0, "the earlier process said so late")
+}
+
+// TestLimitHoldsForAllVMs has fleets of several sizes send as much as they may to upstreams whose limit
+// each VM learns at another time. It counts what arrives in any 4 s.
+func TestLimitHoldsForAllVMs(t *testing.T) {
+	for _, seed := range seeded.Seeds(t, 4) {
+		for _, vms := range []int{1, 4, 9, 78, 420} {
+			for _, rate := range []float64{0, 0.5, 2, 7.6, 60} {
+				f := newFleet(seed, vms, rate)
+				for range 300 {
+					f.step()
+				}
+				most := f.most(4 * clock.Second)
+				assert.Assert(t, float64(most) <= 1.5*4*rate+5, "seed %d: %d VMs sent %d requests in 4 s at a limit of %v", seed, vms, most, rate)
+				sent := float64(len(f.arrivals))
+				assert.Assert(t, sent >= 0.7*rate*29-1, "seed %d: %d VMs sent %v requests in 29 s at a limit of %v", seed, vms, sent, rate)
+			}
+		}
+	}
+}
+
+// fleet is a fleet that sends to one upstream with a limit, which every VM knows after a second.
+type fleet struct {
+	src      *rng.Source
+	now      clock.Time
+	limiters []*ratecap.Limiter
+	arrivals []clock.Time
+	rate     float64
+}
+
+const fleetStep = 100 * clock.Millisecond
+
+func newFleet(seed uint64, vms int, rate float64) *fleet {
+	f := &fleet{src: rng.New(seed), now: start, rate: rate}
+	var names []string
+	for i := range vms {
+		names = append(names, fmt.Sprintf("vm-%03d", i))
+	}
+	for _, name := range names {
+		l := ratecap.New(name)
+		l.SetVMs(names)
+		l.Named(start.Add(clock.Duration(f.src.IntN(int(clock.Second)))), "engine", 1, rate)
+		f.limiters = append(f.limiters, l)
+	}
+	return f
+}
+
+// step has each VM send until it may not, from the second on by which all know the limit. One VM starts
+// again and learns the limit from another.
+func (f *fleet) step() {
+	f.now = f.now.Add(fleetStep)
+	if f.now == start.Add(5*clock.Second) && len(f.limiters) > 1 {
+		names := make([]string, len(f.limiters))
+		for i := range names {
+			names[i] = fmt.Sprintf("vm-%03d", i)
+		}
+		l := ratecap.New(names[0])
+		l.SetVMs(names)
+		l.Merge(f.now, f.limiters[1].Report(f.now), 0)
+		f.limiters[0] = l
+	}
+	if f.now.Sub(start) < clock.Second {
+		return
+	}
+	for _, l := range f.limiters {
+		for l.Wait(f.now, "engine") == 0 {
+			l.Take(f.now, "engine")
+			f.arrivals = append(f.arrivals, f.now)
+		}
+	}
+}
+
+// most returns the largest number of arrivals in a span.
+func (f *fleet) most(span clock.Duration) int {
+	most, first := 0, 0
+	for i, at := range f.arrivals {
+		for at.Sub(f.arrivals[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestReportIsBounded has thousands of upstreams name limits at once.
+func TestReportIsBounded(t *testing.T) {
+	l, other := ratecap.New("vm"), ratecap.New("other")
+	const upstreams = 3000
+	for i := range upstreams {
+		l.Named(start, fmt.Sprintf("i-%010d", i), 1_800_000_000_000, 7.6)
+	}
+	for round := range 2 * upstreams / 8 {
+		now := start.Add(clock.Duration(round) * 480)
+		report, bytes := l.Report(now), 0
+		for _, r := range report {
+			bytes += proto.Size(r)
+		}
+		assert.Assert(t, bytes <= 2000, "%d bytes", bytes)
+		other.Merge(now, report, 0)
+	}
+	assert.Equal(t, other.Limited(), upstreams)
+	other.Prune(func(string) bool { return false })
+	assert.Equal(t, other.Limited(), 0)
+}
--- a/internal/routing/ratecap/ratecap.go
+++ b/internal/routing/ratecap/ratecap.go
@@ -5,9 +5,12 @@
 package ratecap
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
 )
 
 // maxRate is the highest rate that counts as a limit.
@@ -21,3 +24,14 @@
 	}
 	return rate, true
 }
+
+// UsedUpError reports that each upstream that could take a request names a rate limit, of which this
+// VM has used up its part.
+type UsedUpError struct {
+	Wait clock.Duration // Until one of them may get a request of this VM.
+}
+
+// Error implements error.
+func (e *UsedUpError) Error() string {
+	return fmt.Sprintf("ratecap: the rate limits that the upstreams name are used up for %s", e.Wait)
+}
