--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
@@ -109,7 +110,7 @@
 	n.limits = filter.NewLimits(n.clock, s.FilterOrganisations())
 	n.quarantine = quarantine.NewGuard(n.clock, decisionLog{tel.Log.Named("quarantine")}, tel.Metrics)
 	n.plane, err = controlplane.New(controlplane.Config{
-		Settings: s, Clock: n.clock, Sink: n.violations, Log: tel.Log, Directory: n.dir, Limits: n.limits, Parts: n.quarantine,
+		Settings: s, Clock: n.clock, Sink: n.violations, Log: tel.Log, Directory: n.dir, Limits: n.limits, Parts: n.quarantine, OnOccupancy: n.mergeLimits,
 		Source: src, Initial: n.initial, Drain: func() { close(n.drain) }, Explain: n.explain,
 	})
 	return n, err
@@ -129,6 +130,7 @@
 	}
 	n.task(func() { n.admission.Run(ctx) })
 	n.task(func() { n.tick(ctx) })
+	n.task(func() { delay.Every(ctx, limitsInterval, n.shareLimits) })
 	n.task(func() { n.ordersController().Run(ctx) })
 	n.log.Info("serving", "callers", n.CallersAddress(), "upstreams", n.UpstreamsAddress(), "operators", n.OperatorsAddress(), "fleet", n.plane.FleetAddress())
 	return nil
@@ -140,6 +142,8 @@
 	n.admission = filter.NewAdmission(n.clock, filter.LatencyTargets{
 		BetweenTokens: n.settings.Callers.BetweenTokens, ServiceCall: n.settings.Callers.ServiceCall,
 	})
+	services := filter.NewServices(n.dir, n.clock, n.quarantine)
+	services.OnRateLimit = n.logRateLimit
 	pipelines := driver.New(n.dir, n.links, engineapi.New(), n.violations, n.driverHooks())
 	n.front = front.New(n.tel, n.dir, n.accounts, n.settings.Callers.MaxBodyBytes, n.Ready,
 		filter.NewIdentity(orgs, n.settings.AnonymousOrganisation(), n.settings.Callers.Deadline),
@@ -148,7 +152,7 @@
 		n.limits,
 		n.admission,
 		filter.NewClaim(n.plane.Client(), n.clock),
-		filter.NewForward(pipelines, filter.NewServices(n.dir, n.clock, n.quarantine), n.admission, n.quarantine),
+		filter.NewForward(pipelines, services, n.admission, n.quarantine),
 	)
 }
 
--- a/internal/request/filter/services.go
+++ b/internal/request/filter/services.go
@@ -21,6 +21,7 @@
 	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/routing/directory"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 )
 
 // Parameters of calls to services.
@@ -34,6 +35,9 @@
 	minAttemptTimeout = 1500 * time.Millisecond
 )
 
+// RateLimitHeader is set by services in need: the calls a second that they take from all VMs together.
+const RateLimitHeader = "Jasminecove-Rate-Limit"
+
 // hopByHopHeaders are the headers that are not forwarded.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization"}
 
@@ -47,6 +51,8 @@
 	// and never uses an idle connection that no longer responds.
 	singleUse http.RoundTripper
 	guard     *quarantine.Guard
+	// OnRateLimit is called when a response changes the rate limit of an upstream. It may be nil.
+	OnRateLimit func(upstream, requestID string, change ratecap.Change)
 
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget
@@ -80,6 +86,10 @@
 	var tried []string
 	for attemptIndex := 0; ; attemptIndex++ {
 		u, err := s.dir.PickService(x.Pool.Name, tried)
+		var usedUp *ratecap.UsedUpError
+		if errors.As(err, &usedUp) && attemptIndex == 0 {
+			return refusal.NewUpstreamLimit(max(retryDelay, usedUp.Wait)).WithCause(err)
+		}
 		if err != nil && attemptIndex == 0 {
 			return refusal.New(refusal.NoUpstream, http.StatusServiceUnavailable, "no upstream of the pool can take the call").WithRetryAfter(retryDelay).WithCause(err)
 		}
@@ -108,7 +118,10 @@
 // not reported because it says nothing about the upstream.
 func (s *Services) attempt(ctx context.Context, x *exchange.Exchange, watch *quarantine.Watch, u *registry.Upstream, repeatable bool) attempt {
 	watched := watch.Begin([]string{u.Id})
+	sentAt := s.clock.Now()
+	s.dir.CountSend(u.Id)
 	a := s.send(ctx, x, u, repeatable)
+	s.recordRateLimit(u.Id, x.ID, sentAt, a)
 	s.dir.ReleaseService(u.Id)
 	s.judge(x, watched, u, a)
 	if !errors.Is(a.err, context.Canceled) {
@@ -117,6 +130,23 @@
 	return a
 }
 
+// recordRateLimit records the rate limit that a response to a call sent at a given time names, or that
+// it names none. Only a success says that a limit has ended.
+func (s *Services) recordRateLimit(upstream, requestID string, sentAt clock.Time, a attempt) {
+	text := a.header.Get(RateLimitHeader)
+	rate, named := ratecap.ParseRate(text)
+	var change ratecap.Change
+	switch {
+	case named:
+		change = s.dir.RecordRateLimit(upstream, rate)
+	case a.err == nil && text == "" && a.status < http.StatusMultipleChoices:
+		change = s.dir.RecordNoRateLimit(upstream, sentAt)
+	}
+	if change.Changed && s.OnRateLimit != nil {
+		s.OnRateLimit(upstream, requestID, change)
+	}
+}
+
 // judge records what the result of an attempt says of the prompt's parts. If the upstream broke the
 // attempt off, judge checks whether it has ended.
 func (s *Services) judge(x *exchange.Exchange, watched *quarantine.WatchedRun, u *registry.Upstream, a attempt) {
--- a/internal/request/forward/ratelimit.go
+++ b/internal/request/forward/ratelimit.go
@@ -43,5 +43,5 @@
 	if errors.As(cause, &limited) {
 		after = max(after, limited.Wait)
 	}
-	return refusal.New(refusal.UpstreamLimit, http.StatusServiceUnavailable, "the upstreams limit their requests, and take no more at present").WithRetryAfter(after).WithCause(cause)
+	return refusal.NewUpstreamLimit(after).WithCause(cause)
 }
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -80,6 +80,12 @@
 	return New(Quarantined, http.StatusServiceUnavailable, "the prompt part %s is quarantined: %d or more upstreams crashed on it", part, crashes).WithRetryAfter(left)
 }
 
+// NewUpstreamLimit returns the refusal of a request that the rate limits of the upstreams leave no room
+// for before a time has passed.
+func NewUpstreamLimit(after clock.Duration) *Refusal {
+	return New(UpstreamLimit, http.StatusServiceUnavailable, "the upstreams limit their requests, and take no more at present").WithRetryAfter(after)
+}
+
 // WithOutcome returns a copy with another outcome.
 func (r *Refusal) WithOutcome(o Outcome) *Refusal {
 	clone := *r
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -15,6 +15,7 @@
 	"github.com/jasminecove/jasminecove/internal/routing/health"
 	"github.com/jasminecove/jasminecove/internal/routing/pick"
 	"github.com/jasminecove/jasminecove/internal/routing/plan"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
@@ -55,6 +56,7 @@
 	linkDown map[string]bool
 	plans    map[string]*poolPlan
 	policies map[string]pick.Policy
+	limits   *ratecap.Limiter
 	changes  uint64 // Incremented when a link's state or an upstream's health changes.
 }
 
@@ -88,6 +90,7 @@
 		linkDown: map[string]bool{},
 		plans:    map[string]*poolPlan{},
 		policies: map[string]pick.Policy{},
+		limits:   ratecap.New(vm),
 	}
 }
 
@@ -182,6 +185,7 @@
 	for _, g := range ended {
 		d.forget(g.Id)
 	}
+	d.limits.Prune(func(id string) bool { _, live := d.registry.Get(id); return live })
 	d.mu.Unlock()
 	change := Change{Digests: ended}
 	for _, g := range ended {
--- a/internal/routing/directory/service.go
+++ b/internal/routing/directory/service.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"slices"
 
+	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/fleet/registry"
 	"github.com/jasminecove/jasminecove/internal/routing/pick"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 )
 
 // PickService picks an upstream of a pool of services. The request counts as in flight on
-// it until ReleaseService is called.
+// it until ReleaseService is called. If only the rate limits that upstreams name forbid it, the error
+// is a *ratecap.UsedUpError.
 func (d *Directory) PickService(pool string, exclude []string) (*registry.Upstream, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -20,13 +23,23 @@
 	now := d.clock.Now()
 	var members []*registry.Upstream
 	var cs []pick.Candidate
+	var limitedFor clock.Duration // Until the first limited upstream may get a call.
 	for _, u := range d.plan(p).replicas {
 		if slices.Contains(exclude, u.Id) || !d.health.Usable(now, u.Id) {
 			continue
 		}
+		if wait := d.limits.Wait(now, u.Id); wait > 0 {
+			if limitedFor == 0 || wait < limitedFor {
+				limitedFor = wait
+			}
+			continue
+		}
 		members = append(members, u)
 		cs = append(cs, d.candidate(now, u, max(u.TokensPerSecond, 1)))
 	}
+	if len(cs) == 0 && limitedFor > 0 {
+		return nil, &ratecap.UsedUpError{Wait: limitedFor}
+	}
 	if len(cs) == 0 {
 		return nil, fmt.Errorf("pool %s: %w", pool, ErrNoUpstream)
 	}
