Forget earlier quarantines of a prompt part that a run cleared

Clearing now begins anew, on other VMs too, as their records follow the later round. TestClearedPartIsAsAnyOther fails before.

--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -128,8 +128,8 @@
 		return false
 	}
 	if m.Round > r.round {
-		r.round, r.crashes, r.until, changed = m.Round, nil, 0, true
-		if len(m.Crashes) == 0 && m.Spans == r.spans {
+		r.round, r.crashes, r.until, r.spans, changed = m.Round, nil, 0, m.Spans, true
+		if len(m.Crashes) == 0 && m.Spans == 0 {
 			// Another VM cleared the part.
 			t.survived.Set(r.part, now.Add(-clock.Duration(m.AgeMs)))
 		}
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -74,7 +74,7 @@
 	crashes   []crash // Sorted by id.
 	changedAt clock.Time
 	until     clock.Time // End of the quarantine, 0 without one.
-	spans     uint32     // Number of quarantines so far.
+	spans     uint32     // Number of quarantines since the part was last cleared.
 	unsent    bool       // Changed since it was last sent to other VMs.
 }
 
@@ -297,7 +297,7 @@
 		}
 	}
 	r.reset(now)
-	r.unsent = true
+	r.spans, r.unsent = 0, true
 	return e
 }
 
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -78,6 +78,24 @@
 	assert.Assert(t, !isBlocked(q, start.Add(4*clock.Second), "p"))
 }
 
+// TestClearedPartIsAsAnyOther also has another VM learn that the part was cleared.
+func TestClearedPartIsAsAnyOther(t *testing.T) {
+	q, other := quarantine.New(), quarantine.New()
+	for i := range 3 {
+		crash(q, start, fmt.Sprint(i), fmt.Sprint(i), "p")
+	}
+	other.Merge(start, "q", q.All(start))
+	assert.Assert(t, isBlocked(other, start, "p"))
+	q.RunSurvived(start, []string{"p"})
+	other.Merge(start, "q", q.All(start))
+	later := start.Add(10 * clock.Second)
+	for _, tracker := range []*quarantine.Tracker{q, other} {
+		assert.Assert(t, !isBlocked(tracker, start, "p"))
+		crash(tracker, later, "again", "9", "p")
+		assert.Assert(t, !isBlocked(tracker, later, "p"), "one crash after the part was cleared")
+	}
+}
+
 func TestQuarantinedPartExplainsCrashesOfOthers(t *testing.T) {
 	q := quarantine.New()
 	for i := range 3 {
