--- a/internal/cli/command/script_test.go
+++ b/internal/cli/command/script_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -39,25 +41,44 @@
 // portsPerScript is the number of free ports of a script, in the environment variables P0, P1 and so on.
 const portsPerScript = 24
 
-// setPorts finds free ports. It holds all of them open until the last one is found, so that they differ.
+// The ports of scripts are outside the range from which the kernel takes ports for others.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// nextPort counts the ports that scripts of this process have looked at. It begins at another port in
+// each process.
+var nextPort atomic.Int64
+
+// setPorts finds ports that are free for TCP and UDP.
 func setPorts(env *testscript.Env) error {
-	var listeners []net.Listener
-	for i := range portsPerScript {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
+	nextPort.CompareAndSwap(0, 1+int64(os.Getpid())*portsPerScript)
+	for i := 0; i < portsPerScript; {
+		port := strconv.FormatInt(firstPort+nextPort.Add(1)%(lastPort-firstPort), 10)
+		if isFree(port) {
+			env.Setenv(fmt.Sprintf("P%d", i), port)
+			i++
 		}
-		listeners = append(listeners, l)
-		_, port, _ := net.SplitHostPort(l.Addr().String())
-		env.Setenv(fmt.Sprintf("P%d", i), port)
-	}
-	for _, l := range listeners {
-		_ = l.Close()
 	}
 	env.Setenv("HOME", env.WorkDir)
 	return nil
 }
 
+// isFree reports whether a port is free for TCP and UDP.
+func isFree(port string) bool {
+	l, err := net.Listen("tcp", "127.0.0.1:"+port)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = l.Close() }()
+	c, err := net.ListenPacket("udp", "127.0.0.1:"+port)
+	if err != nil {
+		return false
+	}
+	return c.Close() == nil
+}
+
 // writeFleet implements "fleet VMS VOTERS". It writes keys and settings for VMS VMs, of which the
 // first VOTERS have a data folder and a vote. VM i uses the ports P(4i) to P(4i+3) for callers,
 // upstreams, operators and the fleet.
