Let a quarantined part explain more crashes than its record holds

TestFullRecordExplainsCrashes fails before. Records are no longer made for parts whose crash another part explains.

--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -190,13 +190,16 @@
 // accuse adds the end of a run's upstream to the records of the run's parts.
 func (t *Tracker) accuse(now clock.Time, run Run) (events []Event) {
 	c := crash{id: crashID(run.Upstream, run.StartedMs), request: requestHash(run.RequestID)}
+	if b, quarantined := t.Check(now, run.Parts); quarantined {
+		t.explainCrash(now, c, b.Part) // Also if the part's record is full.
+	}
 	var accused []*record
 	for _, p := range run.Parts {
-		if t.isSound(now, p) {
+		if t.isSound(now, p) || t.explainedByOther(c, p) {
 			continue
 		}
 		r := t.record(now, p)
-		if t.explainedByOther(c, p) || !r.add(c) {
+		if !r.add(c) {
 			continue
 		}
 		r.changedAt, r.unsent = now, true
@@ -251,13 +254,18 @@
 // explain notes the crashes of a quarantined part, which then accuse no other part.
 func (t *Tracker) explain(now clock.Time, r *record) {
 	for _, c := range r.crashes {
-		if _, ok := t.explained.Get(c.id); !ok {
-			t.explained.Set(c.id, r.part)
-		}
+		t.explainCrash(now, c, r.part)
+	}
+}
+
+// explainCrash notes that a quarantined part explains a crash.
+func (t *Tracker) explainCrash(now clock.Time, c crash, part string) {
+	if _, ok := t.explained.Get(c.id); !ok {
+		t.explained.Set(c.id, part)
 	}
 	for _, o := range t.records {
-		if o != r && o.until <= now {
-			o.crashes = slices.DeleteFunc(o.crashes, func(c crash) bool { return r.has(c.id) })
+		if o.part != part && o.until <= now {
+			o.crashes = slices.DeleteFunc(o.crashes, func(other crash) bool { return other.id == c.id })
 		}
 	}
 }
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -110,6 +110,23 @@
 	assert.Assert(t, isBlocked(q, start, "worse"), "a second part that crashes upstreams")
 }
 
+// TestFullRecordExplainsCrashes has a part crash more upstreams than its record holds, in flight on
+// many VMs, under runs of a sound part.
+func TestFullRecordExplainsCrashes(t *testing.T) {
+	q := quarantine.New()
+	for i := range 20 {
+		parts := []string{"bad", "rare"}
+		for k := range parts { // One is accused first, then the other.
+			part := parts[(i+k)%len(parts)]
+			q.RunBroke(start, quarantine.Run{RequestID: fmt.Sprint(part, i), Upstream: fmt.Sprint(i), StartedMs: 1, Parts: []string{part}})
+			q.UpstreamEnded(start, fmt.Sprint(i))
+		}
+	}
+	assert.Assert(t, isBlocked(q, start, "bad"))
+	assert.Assert(t, !isBlocked(q, start, "rare"))
+	assert.Equal(t, len(q.All(start)), 2)
+}
+
 func TestInseparablePartsAreSeparatedByTheNextCrash(t *testing.T) {
 	q := quarantine.New()
 	for i := range 3 {
