Show in explain what led to a refusal for a prompt part or for rate limits

An operator who started from the id of such a request found its one line: the crashes that accuse a part and the responses that name a limit were minutes earlier, and named no upstream of the request. explain now adds them. TestRequestLinesOfRefusals fails before.

--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -85,16 +85,28 @@
 	return l, err == nil && l.Decision != ""
 }
 
+// Decisions that explain a refusal, however long before it they were made.
+var (
+	partDecisions  = []string{"partAccused", "partQuarantined", "partCleared", "partQuarantineEnd"}
+	limitDecisions = []string{"upstreamRateLimit"}
+)
+
 // RequestLines returns the log lines of a request, together with the lines about the
-// upstreams that they name, within upstreamWindow of the request.
+// upstreams that they name, within upstreamWindow of the request. For a request that was refused for
+// a part of its prompt, or for upstreams' rate limits, it adds the earlier decisions about these.
 func RequestLines(lines []Line, id string) ([]Line, error) {
 	var own []Line
-	upstreams := map[string]bool{}
+	upstreams, parts, limited := map[string]bool{}, map[string]bool{}, false
 	for _, l := range lines {
-		if l.ID == id {
-			own = append(own, l)
-			upstreams[l.Text("upstream")] = true
+		if l.ID != id {
+			continue
 		}
+		own = append(own, l)
+		upstreams[l.Text("upstream")] = true
+		if strings.HasPrefix(l.Text("cause"), "quarantined:") {
+			addTexts(parts, l.Fields["sharedParts"])
+		}
+		limited = limited || strings.HasPrefix(l.Text("cause"), "upstreamLimit:")
 	}
 	if len(own) == 0 {
 		return nil, fmt.Errorf("%w: %s", ErrNotFound, id)
@@ -104,13 +116,24 @@
 	var selected []Line
 	for _, l := range lines {
 		inWindow := l.At.After(first) && l.At.Before(last)
-		if l.ID == id || inWindow && (upstreams[l.ID] || upstreams[l.Text("reportedBy")]) {
+		explains := l.At.Before(last) && (parts[l.ID] && slices.Contains(partDecisions, l.Decision) || limited && slices.Contains(limitDecisions, l.Decision))
+		if l.ID == id || explains || inWindow && (upstreams[l.ID] || upstreams[l.Text("reportedBy")]) {
 			selected = append(selected, l)
 		}
 	}
 	return selected, nil
 }
 
+// addTexts adds the strings of a list to a set.
+func addTexts(set map[string]bool, list any) {
+	entries, _ := list.([]any)
+	for _, e := range entries {
+		if text, ok := e.(string); ok {
+			set[text] = true
+		}
+	}
+}
+
 // requestStart returns when the line's request arrived, or the line's own time if the line does
 // not record the time since then.
 func (l Line) requestStart() time.Time {
--- a/internal/cli/explain/explain_test.go
+++ b/internal/cli/explain/explain_test.go
@@ -38,3 +38,25 @@
 	_, err = explain.RequestLines(lines, "nobody")
 	assert.Assert(t, errors.Is(err, explain.ErrNotFound))
 }
+
+// A refusal for a prompt part, or for rate limits, comes with the decisions that led to it.
+func TestRequestLinesOfRefusals(t *testing.T) {
+	const log = `{"@message":"partAccused","@module":"vm-a","@timestamp":"2026-10-03T18:00:00.000Z","id":"bad0","request":"r0","upstream":"e1"}
+{"@message":"partQuarantined","@module":"vm-a","@timestamp":"2026-10-03T18:00:01.000Z","id":"bad0","crashes":3}
+{"@message":"partAccused","@module":"vm-a","@timestamp":"2026-10-03T18:00:01.000Z","id":"other"}
+{"@message":"upstreamRateLimit","@module":"vm-a","@timestamp":"2026-10-03T18:00:02.000Z","id":"e2","rate":4}
+{"@message":"failed","@module":"vm-b","@timestamp":"2026-10-03T18:04:00.000Z","id":"r1","cause":"quarantined: the prompt part bad0 is quarantined","sharedParts":["aa00","bad0"]}
+{"@message":"failed","@module":"vm-b","@timestamp":"2026-10-03T18:04:01.000Z","id":"r2","cause":"upstreamLimit: the upstreams limit their requests","sharedParts":["bad1"]}
+`
+	lines, err := explain.Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	for id, want := range map[string][]string{"r1": {"partAccused", "partQuarantined", "failed"}, "r2": {"upstreamRateLimit", "failed"}} {
+		selected, err := explain.RequestLines(lines, id)
+		assert.NilError(t, err)
+		var decisions []string
+		for _, l := range selected {
+			decisions = append(decisions, l.Decision)
+		}
+		assert.DeepEqual(t, decisions, want)
+	}
+}
