Keep the number of limited upstreams current when other VMs report limits

The gauge limited_upstreams followed only this VM's own responses, so that a VM that learned of a limit (LIMIT) from others showed 0. Also names an unused parameter of a test as the linter asks.

--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -376,6 +376,9 @@
 	for _, id := range slices.Sorted(maps.Keys(c.RateLimits)) {
 		r.log.Decision("upstreamRateLimit", id, "rate", c.RateLimits[id].Rate, "was", c.RateLimits[id].Was, "reported", true)
 	}
+	if len(c.RateLimits)+len(c.Ended) > 0 {
+		r.tel.Metrics.Gauge("limited_upstreams").Update(float64(r.catalog.LimitedUpstreams()))
+	}
 	for _, id := range c.Crashed {
 		r.quarantine.UpstreamEnded(id)
 	}
--- a/internal/request/filter/quarantine_test.go
+++ b/internal/request/filter/quarantine_test.go
@@ -106,7 +106,7 @@
 		for i := range 12 {
 			var server *httptest.Server
 			var listener net.Listener
-			server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				if !strings.Contains(r.Header.Get(filter.PartsHeader), "bad") {
 					return
 				}
