--- a/internal/routing/ratecap/limiter.go
+++ b/internal/routing/ratecap/limiter.go
@@ -53,20 +53,20 @@
 	limits map[string]*limit // By upstream.
 	next   int               // Index of the limit at which the next report starts.
 
-	vms    []string           // The VMs that share the limits.
-	shares map[string]float64 // This VM's equal part of each limit, 0 to 1; cleared when vms or limits change.
+	vms     []string            // The VMs that share the limits.
+	senders map[string][]string // The VMs that send to each upstream; cleared when vms or limits change.
 }
 
 // New returns the Limiter of a VM.
 func New(vm string) *Limiter {
-	return &Limiter{vm: vm, limits: map[string]*limit{}, vms: []string{vm}, shares: map[string]float64{}}
+	return &Limiter{vm: vm, limits: map[string]*limit{}, vms: []string{vm}, senders: map[string][]string{}}
 }
 
 // SetVMs sets the names of the VMs that share the limits.
 func (l *Limiter) SetVMs(vms []string) {
 	if !slices.Equal(vms, l.vms) {
 		l.vms = slices.Clone(vms)
-		clear(l.shares)
+		clear(l.senders)
 	}
 }
 
@@ -109,7 +109,7 @@
 		c.Changed, m.changedAt = true, at
 	}
 	if c.Rate != c.Was {
-		delete(l.shares, upstream)
+		delete(l.senders, upstream)
 		if c.Was == 0 {
 			m.tokens = 0
 		}
@@ -124,27 +124,28 @@
 	return max(minRate, m.rate)
 }
 
-// share returns this VM's part of an upstream's limit.
+// share returns this VM's part of an upstream's limit, 0 to 1.
 func (l *Limiter) share(now clock.Time, upstream string, m *limit) float64 {
-	equal := l.equalShare(upstream, m)
-	if equal == 0 || len(m.others) == 0 {
+	senders := l.sendersTo(upstream, m)
+	if !slices.Contains(senders, l.vm) {
+		return 0
+	}
+	equal := 1 / float64(len(senders))
+	if len(m.others) == 0 {
 		return equal
 	}
-	return m.divide(now, equal)
+	return m.divide(now, equal, senders)
 }
 
-// equalShare returns this VM's part of an upstream's limit if all that send to it use it alike.
-func (l *Limiter) equalShare(upstream string, m *limit) float64 {
-	if s, ok := l.shares[upstream]; ok {
-		return s
-	}
-	senders := min(len(l.vms), extraSenders+int(m.current()*float64(sendersTime)/float64(clock.Second)))
-	s := 0.0
-	if slices.Contains(rendezvous.Rank("limit of "+upstream, l.vms)[:senders], l.vm) {
-		s = 1 / float64(senders)
+// sendersTo returns the VMs that send to an upstream.
+func (l *Limiter) sendersTo(upstream string, m *limit) []string {
+	senders, known := l.senders[upstream]
+	if !known {
+		n := min(len(l.vms), extraSenders+int(m.current()*float64(sendersTime)/float64(clock.Second)))
+		senders = rendezvous.Rank("limit of "+upstream, l.vms)[:n]
+		l.senders[upstream] = senders
 	}
-	l.shares[upstream] = s
-	return s
+	return senders
 }
 
 // fill adds the tokens since the last call.
@@ -200,7 +201,7 @@
 // Forget removes the limit of an upstream that has ended.
 func (l *Limiter) Forget(upstream string) {
 	delete(l.limits, upstream)
-	delete(l.shares, upstream)
+	delete(l.senders, upstream)
 }
 
 // Limited returns the number of upstreams with a limit.
--- a/internal/routing/ratecap/limiter_test.go
+++ b/internal/routing/ratecap/limiter_test.go
@@ -172,6 +172,25 @@
 	assert.Assert(t, float64(busy) >= 0.85*rate*10, "%d requests in 10 s while a third of the VMs is idle", busy)
 }
 
+// TestVMsThatDoNotSendLeaveNothing has limits that are too low for all VMs to send, and all of them short.
+func TestVMsThatDoNotSendLeaveNothing(t *testing.T) {
+	for _, rate := range []float64{0.5, 2} {
+		f := newFleet(1, 9, rate)
+		for i := range 600 {
+			for at, l := range f.limiters {
+				for other, m := range f.limiters {
+					if at != other && i%3 == 0 {
+						m.MergeUse(f.now, fmt.Sprintf("vm-%03d", at), l.Report(f.now))
+					}
+				}
+			}
+			f.step()
+		}
+		const seconds = 59
+		assert.Assert(t, float64(len(f.arrivals)) <= 1.05*rate*seconds+3, "%d requests in %d s at a limit of %v", len(f.arrivals), seconds, rate)
+	}
+}
+
 // TestReportIsBounded has thousands of upstreams name limits at once.
 func TestReportIsBounded(t *testing.T) {
 	l, other := ratecap.New("vm"), ratecap.New("other")
--- a/internal/routing/ratecap/use.go
+++ b/internal/routing/ratecap/use.go
@@ -51,16 +51,17 @@
 	return min(equal, max(minKept*equal, spareFactor*u.rate(now)/limit))
 }
 
-// divide returns this VM's part of the limit: those that are short share what the others leave. The
-// parts of all VMs add up to the whole, as far as their reports are current.
-func (m *limit) divide(now clock.Time, equal float64) float64 {
+// divide returns the part of the limit of this VM, one of the senders: those that are short share what
+// the others leave. The parts of all senders add up to the whole, as far as their reports are current.
+func (m *limit) divide(now clock.Time, equal float64, senders []string) float64 {
 	if !m.own.isShort(now) {
 		return m.own.kept(now, m.current(), equal)
 	}
 	short, left := 1, 0.0
-	for vm, u := range m.others {
+	for _, vm := range senders {
+		u, reported := m.others[vm]
 		switch {
-		case now.Sub(u.reportedAt) > useLifetime:
+		case !reported || now.Sub(u.reportedAt) > useLifetime:
 			delete(m.others, vm)
 		case u.isShort(now):
 			short++
