Take all ports of tests that are bound later from outside the kernel's range

Traced: all five VMs say 'listen tcp 127.0.1.x:38129: bind: address already in use'; the soak looked the port up in the kernel's range and bound it later, as the scripts did.

--- a/internal/cli/command/script_test.go
+++ b/internal/cli/command/script_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/jasminecove/jasminecove/internal/cli/command"
 	"github.com/jasminecove/jasminecove/internal/cli/standincmd"
+	"github.com/jasminecove/jasminecove/internal/testkit/freeport"
 )
 
 func TestMain(m *testing.M) {
@@ -41,44 +40,15 @@
 // portsPerScript is the number of free ports of a script, in the environment variables P0, P1 and so on.
 const portsPerScript = 24
 
-// The ports of scripts are outside the range from which the kernel takes ports for others.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-)
-
-// nextPort counts the ports that scripts of this process have looked at. It begins at another port in
-// each process.
-var nextPort atomic.Int64
-
-// setPorts finds ports that are free for TCP and UDP.
+// setPorts finds free ports.
 func setPorts(env *testscript.Env) error {
-	nextPort.CompareAndSwap(0, 1+int64(os.Getpid())*portsPerScript)
-	for i := 0; i < portsPerScript; {
-		port := strconv.FormatInt(firstPort+nextPort.Add(1)%(lastPort-firstPort), 10)
-		if isFree(port) {
-			env.Setenv(fmt.Sprintf("P%d", i), port)
-			i++
-		}
+	for i := range portsPerScript {
+		env.Setenv(fmt.Sprintf("P%d", i), strconv.Itoa(freeport.Find()))
 	}
 	env.Setenv("HOME", env.WorkDir)
 	return nil
 }
 
-// isFree reports whether a port is free for TCP and UDP.
-func isFree(port string) bool {
-	l, err := net.Listen("tcp", "127.0.0.1:"+port)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = l.Close() }()
-	c, err := net.ListenPacket("udp", "127.0.0.1:"+port)
-	if err != nil {
-		return false
-	}
-	return c.Close() == nil
-}
-
 // writeFleet implements "fleet VMS VOTERS". It writes keys and settings for VMS VMs, of which the
 // first VOTERS have a data folder and a vote. VM i uses the ports P(4i) to P(4i+3) for callers,
 // upstreams, operators and the fleet.
