Show that a replica that has left stays in use when its machine is killed

Why: the end of a replica is acknowledged before other VMs are told; a kill within that time loses it, and the upstream then never expires.

--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -43,6 +43,7 @@
 	orders   int
 	ended    chan struct{}
 	over     bool
+	left     bool // It sends no further reports.
 }
 
 // NewReplica returns a replica that listens but does not report itself yet. Its next report has the
@@ -96,7 +97,7 @@
 		body["kind"] = u.Kind
 		body["layers"] = map[string]int{"from": u.from, "target": u.to, "version": 1}
 	}
-	state, sequence, node, over := u.state, u.sequence, u.node, u.over
+	state, sequence, node, over := u.state, u.sequence, u.node, u.over || u.left
 	u.mu.Unlock()
 	if over {
 		return ""
@@ -138,6 +139,22 @@
 	u.Kill()
 }
 
+// Leave sends the DELETE of a replica that goes on to serve for a while, and sends no further
+// reports. It returns the VM that acknowledged it, and when.
+func (u *Replica) Leave() (vm string, at time.Time) {
+	u.mu.Lock()
+	u.state, u.left = "draining", true
+	v := u.fleet.VMs[u.node]
+	u.mu.Unlock()
+	status, _ := v.Call(http.MethodDelete, "/v1/replicas/"+u.ID, "")
+	at = time.Now()
+	u.record.Add("end %s to=%s status=%d", u.ID, v.Name, status)
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		return "", at
+	}
+	return v.Name, at
+}
+
 // Kill ends the replica without notice.
 func (u *Replica) Kill() {
 	u.mu.Lock()
