--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,149 +1,152 @@
-// Command 2 kills all processes of an installation at once, right after a manifest was
-// acknowledged. The settings with which they start again name seeds that are down; the platform
-// corrects the settings file soon after, without a signal.
+// Command 2 has an engine send bytes that are no answer in the body of some of its streams, and
+// checks that no caller gets them within a complete answer.
 package main
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
-	"os"
-	"syscall"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminecove/jasminecove/review/stand"
 )
 
+// The load, and the dose of the disruption.
 const (
-	vms       = 9
-	disks     = 3
-	returning = 6 // The others, which have no disk, are lost for good.
-	// downTime is how long the processes are down: they are back within a second.
-	downTime = 900 * time.Millisecond
-	// seedLag is by how much the operator's list lags behind (seedLagS): the time until the settings
-	// name machines that run.
-	seedLag = 3 * time.Second
-	// recoveryTime is recoveryS, and judgedTime how long requests are judged after it.
-	recoveryTime = 12 * time.Second
-	judgedTime   = 25 * time.Second
-	timeBudget   = 4 * time.Second
+	callers       = 6
+	loadTime      = 40 * time.Second
+	events        = 10
+	eventInterval = 20 * time.Millisecond
+	garbleEvery   = 50 // One in so many answers of one engine of three.
+	garbleAfter   = 4  // Events.
+	chunkBytes    = 4 << 10
+	chunkInterval = 2 * time.Millisecond
+	timeBudget    = 20 * time.Second
 )
 
-func main() { stand.Main(vms, disks, run) }
+func main() { stand.Main(4, 3, run) }
 
 func run(s *stand.Script) int {
-	if err := s.Prepare(); err != nil {
-		s.Show("%v", err)
-		return stand.ExitNotRun
-	}
-	if !stand.Eventually(20*time.Second, func() bool { return serve(s, "ready", s.Fleet.VMs) == vms }) {
-		s.Show("not all VMs serve")
+	if err := s.Fleet.StartAll(); err != nil {
+		s.Show("no fleet: %v", err)
 		return stand.ExitNotRun
 	}
-	before := 0
-	const rounds = 10
-	for range rounds {
-		before += serve(s, "before", s.Fleet.VMs)
-	}
-	s.Show("before: %d of %d requests served", before, rounds*vms)
-	back := s.Fleet.VMs[:returning]
-	if stand.Trouble() {
-		if err := finalFault(s); err != nil {
-			s.Show("%v", err)
+	var garbled atomic.Int64
+	var runs sync.Map // Engines of each request, by its ID.
+	for i := range 3 {
+		e, err := s.NewReplica(fmt.Sprintf("i-crew%d", i), stand.Crew, i, 0)
+		if err != nil {
+			s.Show("no engine: %v", err)
 			return stand.ExitNotRun
 		}
-	}
-	began := time.Now()
-	lagged := false
-	for time.Since(began) < recoveryTime {
-		if !lagged && time.Since(began) > seedLag && stand.Trouble() {
-			lagged = true
-			correctSettings(s)
+		e.Kind, e.Slots = stand.EngineKind, 192
+		faulty := i == 0 && stand.Trouble()
+		var answers atomic.Int64
+		e.Serve = func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(stand.HeaderID)
+			s.Add("run %s at %s after event %q", id, e.ID, r.Header.Get("Last-Event-Id"))
+			before, _ := runs.LoadOrStore(id, e.ID)
+			if before != e.ID {
+				runs.Store(id, before.(string)+","+e.ID)
+			}
+			spoil := faulty && answers.Add(1)%garbleEvery == 0
+			serveStream(w, r, id, spoil, func() {
+				garbled.Add(1)
+				s.Add("garble %s at %s: random bytes from event %d on", id, e.ID, garbleAfter+1)
+			})
 		}
-		serve(s, "recovery", back)
-		time.Sleep(200 * time.Millisecond)
+		e.Start()
 	}
-	sent, served, read := 0, 0, false
-	for time.Since(began) < recoveryTime+judgedTime {
-		sent += len(back)
-		served += serve(s, "after", back)
-		for _, v := range back {
-			status, text := v.Call(http.MethodGet, "/v1/config", "")
-			s.Add("get manifest at %s: %d", v.Name, status)
-			read = read || status == http.StatusOK && text == stand.Manifest
-		}
-		time.Sleep(200 * time.Millisecond)
+	if err := s.Fleet.PutConfig(stand.Manifest, 20*time.Second); err != nil {
+		s.Show("%v", err)
+		return stand.ExitNotRun
 	}
-	s.Show("later than recoveryS: %d of %d requests served, acknowledged manifest read back: %t", served, sent, read)
-	for _, v := range back {
-		if !v.Running() {
-			s.Show("%s does not run", v.Name)
-			return stand.ExitNotRun
-		}
+	warm := stand.NewClient(timeBudget)
+	if !stand.Eventually(20*time.Second, func() bool {
+		a := send(warm, s.Fleet.VMs[3], fmt.Sprintf("warm%d", time.Now().UnixNano()))
+		return a.Status == http.StatusOK
+	}) {
+		s.Show("no stream was served")
+		return stand.ExitNotRun
+	}
+	time.Sleep(4 * time.Second) // All engines get their layers.
+
+	var whole, foreign, other atomic.Int64
+	var wait sync.WaitGroup
+	end := time.Now().Add(loadTime)
+	for c := range callers {
+		wait.Go(func() {
+			client := stand.NewClient(timeBudget)
+			for n := 0; time.Now().Before(end); n++ {
+				id := fmt.Sprintf("%08x%08x", c, n)
+				a := send(client, s.Fleet.VMs[c%len(s.Fleet.VMs)], id)
+				at, _ := runs.Load(id)
+				switch {
+				case a.Status != http.StatusOK || !a.Complete:
+					other.Add(1)
+					s.Add("answer %s status=%d complete=%t engines=%v error=%v", id, a.Status, a.Complete, at, a.Err)
+				case a.Header.Get(stand.HeaderSeal) != "" && a.Body == stand.Stream(id, events):
+					whole.Add(1)
+					s.Add("answer %s status=200 whole engines=%v", id, at)
+				default:
+					foreign.Add(1)
+					s.Show("answer %s status=200 seal=%q complete, but %d bytes instead of %d, ends with the last event: %t, engines=%v",
+						id, a.Header.Get(stand.HeaderSeal), len(a.Body), len(stand.Stream(id, events)), strings.HasSuffix(a.Body, stand.Event(id, events)), at)
+				}
+			}
+		})
 	}
-	if !read || 4*served < sent {
+	wait.Wait()
+	s.Show("garbled %d, whole answers %d, other ends %d, complete answers with foreign bytes %d", garbled.Load(), whole.Load(), other.Load(), foreign.Load())
+	switch {
+	case foreign.Load() > 0:
 		return stand.ExitBroken
+	case whole.Load() == 0 || stand.Trouble() && garbled.Load() == 0:
+		return stand.ExitNotRun
 	}
 	return stand.ExitHeld
 }
 
-// finalFault kills all processes and starts some of them again.
-func finalFault(s *stand.Script) error {
-	for _, v := range s.Fleet.VMs {
-		v.Signal(syscall.SIGKILL)
-	}
-	for _, v := range s.Fleet.VMs {
-		v.Wait(5 * time.Second)
-	}
-	s.Show("killed all %d processes", vms)
-	time.Sleep(downTime)
-	for _, v := range s.Fleet.VMs[:returning] {
-		if err := v.SetSeeds(s.Fleet.VMs[returning:]...); err != nil {
-			return err
-		}
-		if err := v.Start(); err != nil {
-			return err
-		}
-	}
-	s.Show("started %d again, among them all with a disk; the seeds are the %d that are down", returning, vms-returning)
-	return nil
+func send(client *http.Client, v *stand.VM, id string) stand.Answer {
+	return stand.Send(client, v, http.MethodPost, stand.DraftPath+"1", id, "{}", timeBudget,
+		"X-Jasminecove-Model", "m", "X-Jasminecove-Token-Count", "60,20", "X-Jasminecove-Prefix-Hash", fmt.Sprintf("5c1e07a2:40,%s:20", id[:8]))
 }
 
-// correctSettings rewrites the settings files with seeds that run. With SIGNAL=1 it also sends
-// SIGHUP, for comparison.
-func correctSettings(s *stand.Script) {
-	for _, v := range s.Fleet.VMs[:returning] {
-		if err := v.SetSeeds(s.Fleet.VMs[:disks]...); err != nil {
-			s.Show("settings of %s: %v", v.Name, err)
+// serveStream answers with events from the one after Last-Event-Id on. If spoil is set, random
+// bytes follow some events, until the channel is closed.
+func serveStream(w http.ResponseWriter, r *http.Request, id string, spoil bool, spoiled func()) {
+	last := 0
+	_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &last) // Absent in a first run.
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(stand.HeaderSeal, "seal-"+id)
+	flush := http.NewResponseController(w)
+	for n := last + 1; n <= events; n++ {
+		if spoil && n > garbleAfter {
+			spoiled()
+			sendGarbage(w, r)
+			return
 		}
-		if os.Getenv("SIGNAL") == "1" {
-			v.Signal(syscall.SIGHUP)
+		if _, err := fmt.Fprint(w, stand.Event(id, n)); err != nil || flush.Flush() != nil {
+			return
 		}
+		time.Sleep(eventInterval)
 	}
-	s.Show("settings corrected: the seeds are the machines with a disk")
 }
 
-// serve sends one request through each VM and returns how many were served.
-func serve(s *stand.Script, phase string, vms []*stand.VM) int {
-	type result struct {
-		v *stand.VM
-		a stand.Answer
-	}
-	results := make(chan result)
-	for i, v := range vms {
-		go func() {
-			id := fmt.Sprintf("%s-%d-%d", phase, i, time.Now().UnixNano())
-			client := stand.NewClient(timeBudget)
-			defer client.CloseIdleConnections()
-			results <- result{v, stand.Send(client, v, http.MethodGet, stand.LookPath+"1", id, "", timeBudget)}
-		}()
-	}
-	served := 0
-	for range vms {
-		r := <-results
-		s.Add("%s: answer through %s: %d %v", phase, r.v.Name, r.a.Status, r.a.Err)
-		if r.a.Status == http.StatusOK && r.a.Complete {
-			served++
+// sendGarbage sends random bytes until the caller closes.
+func sendGarbage(w http.ResponseWriter, r *http.Request) {
+	src := rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano())))
+	buf := make([]byte, chunkBytes)
+	for r.Context().Err() == nil {
+		for i := range buf {
+			buf[i] = byte(src.Uint32())
+		}
+		if _, err := w.Write(buf); err != nil {
+			return
 		}
+		time.Sleep(chunkInterval)
 	}
-	return served
 }
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/case-3 review/3
+program=target/review/case-3
+[ -x "$program" ] || exit 2
+exec "$program" review/3
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,12 +1,11 @@
-// Command 4 has an engine send bytes that are no answer in the body of some of its streams, and
-// checks that no caller gets them within a complete answer.
+// Command 4 drains a replica that has been up for 15 days, and checks that no request reaches it
+// later than drainMs after the ack.
 package main
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
-	"strings"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,139 +13,135 @@
 	"github.com/jasminecove/jasminecove/review/stand"
 )
 
-// The load, and the dose of the disruption.
 const (
-	callers       = 6
-	loadTime      = 40 * time.Second
-	events        = 10
-	eventInterval = 20 * time.Millisecond
-	garbleEvery   = 50 // One in so many answers of one engine of three.
-	garbleAfter   = 4  // Events.
-	chunkBytes    = 4 << 10
-	chunkInterval = 2 * time.Millisecond
-	timeBudget    = 20 * time.Second
+	vms = 4
+	// uptimeReports is the number of status reports of a replica that has sent one in 1.2 s for
+	// 15 days.
+	uptimeReports = 15 * 24 * 3600 * 1000 / stand.HeartbeatMs
+	// work is how long a booking takes.
+	work = 400 * time.Millisecond
+	// littleLonger is how long the replica serves beyond drainMs.
+	littleLonger = 1500 * time.Millisecond
+	// settleTime is the time after the start in which a replica is not drained: the VMs are in touch
+	// then.
+	settleTime = 10 * time.Second
+	// searchTime is how long requests are sent until the replica gets one.
+	searchTime = 90 * time.Second
+	timeBudget = 4 * time.Second
+	callers    = 8
 )
 
-func main() { stand.Main(4, 3, run) }
+// arrival is one request that reached the replica.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+func main() { stand.Main(vms, 3, run) }
 
 func run(s *stand.Script) int {
 	if err := s.Fleet.StartAll(); err != nil {
 		s.Show("no fleet: %v", err)
 		return stand.ExitNotRun
 	}
-	var garbled atomic.Int64
-	var runs sync.Map // Engines of each request, by its ID.
-	for i := range 3 {
-		e, err := s.NewReplica(fmt.Sprintf("i-crew%d", i), stand.Crew, i, 0)
-		if err != nil {
-			s.Show("no engine: %v", err)
-			return stand.ExitNotRun
-		}
-		e.Kind, e.Slots = stand.EngineKind, 192
-		faulty := i == 0 && stand.Trouble()
-		var answers atomic.Int64
-		e.Serve = func(w http.ResponseWriter, r *http.Request) {
-			id := r.Header.Get(stand.HeaderID)
-			s.Add("run %s at %s after event %q", id, e.ID, r.Header.Get("Last-Event-Id"))
-			before, _ := runs.LoadOrStore(id, e.ID)
-			if before != e.ID {
-				runs.Store(id, before.(string)+","+e.ID)
+	started := time.Now()
+	if _, err := s.NewDesk("i-young", 1, work); err != nil {
+		s.Show("no replica: %v", err)
+		return stand.ExitNotRun
+	}
+	reports := uint64(uptimeReports)
+	if os.Getenv("AGE") == "0" { // For comparison: a replica that has just started.
+		reports = 0
+	}
+	old, err := s.NewReplica("i-old", stand.Desk, 0, reports)
+	if err != nil {
+		s.Show("no replica: %v", err)
+		return stand.ExitNotRun
+	}
+	var mu sync.Mutex
+	var arrivals []arrival
+	reached := make(chan struct{}, 1)
+	old.Serve = func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(stand.HeaderID)
+		s.Add("run %s at %s", id, old.ID)
+		mu.Lock()
+		arrivals = append(arrivals, arrival{id, time.Now()})
+		mu.Unlock()
+		if time.Since(started) > settleTime {
+			select {
+			case reached <- struct{}{}:
+			default:
 			}
-			spoil := faulty && answers.Add(1)%garbleEvery == 0
-			serveStream(w, r, id, spoil, func() {
-				garbled.Add(1)
-				s.Add("garble %s at %s: random bytes from event %d on", id, e.ID, garbleAfter+1)
-			})
 		}
-		e.Start()
+		time.Sleep(work)
+		w.Header().Set(stand.HeaderSeal, "seal-"+id)
+		fmt.Fprintf(w, "done %s", id)
 	}
+	old.Start()
 	if err := s.Fleet.PutConfig(stand.Manifest, 20*time.Second); err != nil {
 		s.Show("%v", err)
 		return stand.ExitNotRun
 	}
-	warm := stand.NewClient(timeBudget)
-	if !stand.Eventually(20*time.Second, func() bool {
-		a := send(warm, s.Fleet.VMs[3], fmt.Sprintf("warm%d", time.Now().UnixNano()))
-		return a.Status == http.StatusOK
-	}) {
-		s.Show("no stream was served")
-		return stand.ExitNotRun
-	}
-	time.Sleep(4 * time.Second) // All engines get their layers.
-
-	var whole, foreign, other atomic.Int64
+	var stop atomic.Bool
+	var statuses sync.Map // Status of each request, by its ID.
 	var wait sync.WaitGroup
-	end := time.Now().Add(loadTime)
 	for c := range callers {
-		wait.Go(func() {
-			client := stand.NewClient(timeBudget)
-			for n := 0; time.Now().Before(end); n++ {
-				id := fmt.Sprintf("%08x%08x", c, n)
-				a := send(client, s.Fleet.VMs[c%len(s.Fleet.VMs)], id)
-				at, _ := runs.Load(id)
-				switch {
-				case a.Status != http.StatusOK || !a.Complete:
-					other.Add(1)
-					s.Add("answer %s status=%d complete=%t engines=%v error=%v", id, a.Status, a.Complete, at, a.Err)
-				case a.Header.Get(stand.HeaderSeal) != "" && a.Body == stand.Stream(id, events):
-					whole.Add(1)
-					s.Add("answer %s status=200 whole engines=%v", id, at)
-				default:
-					foreign.Add(1)
-					s.Show("answer %s status=200 seal=%q complete, but %d bytes instead of %d, ends with the last event: %t, engines=%v",
-						id, a.Header.Get(stand.HeaderSeal), len(a.Body), len(stand.Stream(id, events)), strings.HasSuffix(a.Body, stand.Event(id, events)), at)
-				}
-			}
-		})
+		wait.Go(func() { book(s, c, &stop, &statuses) })
 	}
-	wait.Wait()
-	s.Show("garbled %d, whole answers %d, other ends %d, complete answers with foreign bytes %d", garbled.Load(), whole.Load(), other.Load(), foreign.Load())
-	switch {
-	case foreign.Load() > 0:
-		return stand.ExitBroken
-	case whole.Load() == 0 || stand.Trouble() && garbled.Load() == 0:
+	defer wait.Wait()
+	defer stop.Store(true)
+
+	select {
+	case <-reached:
+	case <-time.After(searchTime):
+		s.Show("no request reached %s", old.ID)
 		return stand.ExitNotRun
 	}
-	return stand.ExitHeld
-}
-
-func send(client *http.Client, v *stand.VM, id string) stand.Answer {
-	return stand.Send(client, v, http.MethodPost, stand.DraftPath+"1", id, "{}", timeBudget,
-		"X-Jasminecove-Model", "m", "X-Jasminecove-Token-Count", "60,20", "X-Jasminecove-Prefix-Hash", fmt.Sprintf("5c1e07a2:40,%s:20", id[:8]))
-}
-
-// serveStream answers with events from the one after Last-Event-Id on. If spoil is set, random
-// bytes follow some events, until the channel is closed.
-func serveStream(w http.ResponseWriter, r *http.Request, id string, spoil bool, spoiled func()) {
-	last := 0
-	_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &last) // Absent in a first run.
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(stand.HeaderSeal, "seal-"+id)
-	flush := http.NewResponseController(w)
-	for n := last + 1; n <= events; n++ {
-		if spoil && n > garbleAfter {
-			spoiled()
-			sendGarbage(w, r)
-			return
+	if !stand.Trouble() {
+		time.Sleep(2 * stand.DrainTime)
+		mu.Lock()
+		s.Show("%s was not drained, %d requests reached it", old.ID, len(arrivals))
+		mu.Unlock()
+		return stand.ExitHeld
+	}
+	vm, acked := old.Drain()
+	s.Show("%s reports that it drains, acknowledged by %q", old.ID, vm)
+	if vm == "" {
+		return stand.ExitNotRun
+	}
+	time.Sleep(time.Until(acked.Add(stand.DrainTime + littleLonger)))
+	old.End()
+	s.Show("%s has exited", old.ID)
+	time.Sleep(work + time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	late, cut := 0, 0
+	for _, a := range arrivals {
+		if a.at.Sub(acked) <= stand.DrainTime {
+			continue
 		}
-		if _, err := fmt.Fprint(w, stand.Event(id, n)); err != nil || flush.Flush() != nil {
-			return
+		late++
+		status, _ := statuses.Load(a.id)
+		if status != http.StatusOK {
+			cut++
 		}
-		time.Sleep(eventInterval)
+		s.Add("late: %s reached %s %.3f s after the ack, answered %v", a.id, old.ID, a.at.Sub(acked).Seconds(), status)
+	}
+	s.Show("requests that reached %s later than drainMs after the ack: %d, of which not served: %d", old.ID, late, cut)
+	if late > 0 {
+		return stand.ExitBroken
 	}
+	return stand.ExitHeld
 }
 
-// sendGarbage sends random bytes until the caller closes.
-func sendGarbage(w http.ResponseWriter, r *http.Request) {
-	src := rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano())))
-	buf := make([]byte, chunkBytes)
-	for r.Context().Err() == nil {
-		for i := range buf {
-			buf[i] = byte(src.Uint32())
-		}
-		if _, err := w.Write(buf); err != nil {
-			return
-		}
-		time.Sleep(chunkInterval)
+// book sends bookings until stop is set.
+func book(s *stand.Script, c int, stop *atomic.Bool, statuses *sync.Map) {
+	client := stand.NewClient(timeBudget)
+	for n := 0; !stop.Load(); n++ {
+		id := fmt.Sprintf("%08x%08x", c, n)
+		a := stand.Send(client, s.Fleet.VMs[(c+n)%vms], http.MethodPost, stand.BookPath+"1", id, "{}", timeBudget)
+		statuses.Store(id, a.Status)
+		s.Add("answer %s: %d", id, a.Status)
+		time.Sleep(50 * time.Millisecond)
 	}
 }
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -169,15 +169,6 @@
 	return nil
 }
 
-// SetSeeds rewrites the settings file with other seeds. The process gets no signal.
-func (v *VM) SetSeeds(seeds ...*VM) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.seeds = seeds
-	_, err := v.writeSettings()
-	return err
-}
-
 // Joins makes the next start of the VM the start of a machine that is added to a running
 // installation: bootstrap is false.
 func (v *VM) Joins() {
