--- a/review/4/main.go
+++ b/review/4/main.go
@@ -24,7 +24,7 @@
 	littleLonger = 1500 * time.Millisecond
 	// settleTime is the time after the start in which a replica is not drained: the VMs are in touch
 	// then.
-	settleTime = 10 * time.Second
+	settleTime = 20 * time.Second
 	// searchTime is how long requests are sent until the replica gets one.
 	searchTime = 90 * time.Second
 	timeBudget = 4 * time.Second
