--- a/review/1/main.go
+++ b/review/1/main.go
@@ -20,6 +20,7 @@
 	// twice catchUpS, after which a machine that is removed stops counting as lost.
 	successorTime = 10 * time.Second
 	downTime      = 1 * time.Second
+	pollInterval  = 50 * time.Millisecond
 	recoveryTime  = 12 * time.Second
 	readTime      = 25 * time.Second
 )
@@ -57,10 +58,12 @@
 	}
 	s.Show("SIGTERM to %s, which leaves for good", old.Name)
 	old.Signal(syscall.SIGTERM)
-	if !old.Wait(stand.Grace) {
-		old.Signal(syscall.SIGKILL)
-		old.Wait(time.Second)
+	for end := time.Now().Add(stand.Grace); old.Running() && time.Now().Before(end); time.Sleep(pollInterval) {
+		status, _ := loser.Call(http.MethodGet, "/v1/config", "") // The operator reads during the day.
+		s.Add("get manifest at %s: %d", loser.Name, status)
 	}
+	old.Signal(syscall.SIGKILL)
+	old.Wait(time.Second)
 	s.Show("%s has exited", old.Name)
 	if wait, err := time.ParseDuration(os.Getenv("WAIT")); err == nil {
 		time.Sleep(wait) // For comparison.
