Keep the doses of cases 3 and 4 within the site's share, and start nothing after an interrupt

What: one of eight replicas leaves instead of one of two; a fleet that is closed starts no process; SIGHUP interrupts a script too. Why: the site's scale_in takes 0.13 of the replicas; an interrupt could cross a start.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -26,6 +26,8 @@
 	settleTime = 8 * time.Second
 	timeBudget = 4 * time.Second
 	callers    = 8
+	// staying is the number of replicas that stay: one of eight leaves.
+	staying = 7
 )
 
 func main() { stand.Main(vms, disks, run) }
@@ -35,9 +37,11 @@
 		s.Show("no fleet: %v", err)
 		return stand.ExitNotRun
 	}
-	if _, err := s.NewDesk("i-stays", 1, 15*time.Millisecond); err != nil {
-		s.Show("no replica: %v", err)
-		return stand.ExitNotRun
+	for i := range staying {
+		if _, err := s.NewDesk(fmt.Sprint("i-stays", i), i, 15*time.Millisecond); err != nil {
+			s.Show("no replica: %v", err)
+			return stand.ExitNotRun
+		}
 	}
 	leaves, err := s.NewReplica("i-leaves", stand.Desk, home, 0)
 	if err != nil {
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -28,7 +28,9 @@
 	// searchTime is how long requests are sent until the replica gets one.
 	searchTime = 90 * time.Second
 	timeBudget = 4 * time.Second
-	callers    = 8
+	callers    = 24
+	// staying is the number of replicas that stay: one of eight drains.
+	staying = 7
 )
 
 // arrival is one request that reached the replica.
@@ -45,9 +47,11 @@
 		return stand.ExitNotRun
 	}
 	started := time.Now()
-	if _, err := s.NewDesk("i-young", 1, work); err != nil {
-		s.Show("no replica: %v", err)
-		return stand.ExitNotRun
+	for i := range staying {
+		if _, err := s.NewDesk(fmt.Sprint("i-young", i), i, work); err != nil {
+			s.Show("no replica: %v", err)
+			return stand.ExitNotRun
+		}
 	}
 	reports := uint64(uptimeReports)
 	if os.Getenv("AGE") == "0" { // For comparison: a replica that has just started.
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -48,6 +49,7 @@
 type Fleet struct {
 	VMs []*VM
 
+	closed                                atomic.Bool // No process is started any more.
 	root                                  string
 	callers, readiness, control, internal int
 }
@@ -116,6 +118,7 @@
 
 // Close kills all VMs and removes their files.
 func (f *Fleet) Close() {
+	f.closed.Store(true)
 	for _, v := range f.VMs {
 		v.Signal(syscall.SIGKILL)
 		v.Wait(10 * time.Second)
@@ -140,6 +143,9 @@
 	if v.process != nil {
 		return nil
 	}
+	if v.fleet.closed.Load() {
+		return os.ErrClosed
+	}
 	file, err := v.writeSettings()
 	if err != nil {
 		return err
--- a/review/stand/script.go
+++ b/review/stand/script.go
@@ -49,7 +49,7 @@
 	s := &Script{Record: record, Fleet: fleet}
 	defer s.killReplicas()
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	done := make(chan int, 1)
 	go func() { done <- run(s) }()
 	select {
