--- a/review/4/main.go
+++ b/review/4/main.go
@@ -53,15 +53,16 @@
 			return stand.ExitNotRun
 		}
 	}
-	reports := uint64(uptimeReports)
+	reports, uptime := uint64(uptimeReports), uptimeReports*stand.HeartbeatMs*time.Millisecond
 	if os.Getenv("AGE") == "0" { // For comparison: a replica that has just started.
-		reports = 0
+		reports, uptime = 0, 0
 	}
 	old, err := s.NewReplica("i-old", stand.Desk, 0, reports)
 	if err != nil {
 		s.Show("no replica: %v", err)
 		return stand.ExitNotRun
 	}
+	old.Born = started.Add(-uptime).UnixMilli()
 	var mu sync.Mutex
 	var arrivals []arrival
 	reached := make(chan struct{}, 1)
