--- a/internal/request/quarantine/event.go
+++ b/internal/request/quarantine/event.go
@@ -34,6 +34,7 @@
 	Key       string
 	Crashes   int            // Upstreams that crashed under runs with the key, maxCrashes at most.
 	Requests  int            // Requests of these runs.
+	Rivals    int            // Other keys that as many crashes accuse or more; for Quarantined.
 	Upstream  string         // That crashed; for Accused.
 	RequestID string         // Of the run; for Accused and Tried.
 	VM        string         // That sent the record; for Learned.
--- a/internal/request/quarantine/guard.go
+++ b/internal/request/quarantine/guard.go
@@ -191,7 +191,7 @@
 	g.metrics.Gauge("quarantined_requests").Update(float64(requests))
 	for _, e := range events {
 		g.metrics.Tagged(map[string]string{"event": e.Name()}).Counter(e.metric()).Inc(1)
-		g.log.Decision(e.Name(), e.Key, "crashes", e.Crashes, "requests", e.Requests, "upstream", e.Upstream, "request", e.RequestID,
+		g.log.Decision(e.Name(), e.Key, "crashes", e.Crashes, "requests", e.Requests, "rivals", e.Rivals, "upstream", e.Upstream, "request", e.RequestID,
 			"vm", e.VM, "reason", e.Reason, "spanMs", int64(e.Span))
 	}
 }
--- a/internal/request/quarantine/judge.go
+++ b/internal/request/quarantine/judge.go
@@ -122,7 +122,7 @@
 		for _, r := range guilty {
 			r.spans, r.until, r.changedAt = 1, now.Add(spanLength(1)), now
 			t.markUnsent(r)
-			events = append(events, Event{Kind: Quarantined, Key: r.key, Crashes: len(r.crashes), Requests: requests(r.crashes), Span: spanLength(1)})
+			events = append(events, Event{Kind: Quarantined, Key: r.key, Crashes: len(r.crashes), Requests: requests(r.crashes), Rivals: t.rivals(now, r), Span: spanLength(1)})
 		}
 		for _, r := range guilty {
 			t.explain(r)
@@ -130,6 +130,16 @@
 	}
 }
 
+// rivals returns the number of other keys that at least as many crashes accuse as a record's key.
+func (t *Tracker) rivals(now clock.Time, r *record) (n int) {
+	for _, o := range t.records {
+		if o != r && len(o.crashes) >= len(r.crashes) && !t.isSound(now, o.key) {
+			n++
+		}
+	}
+	return n
+}
+
 // narrowest returns those of the records to be quarantined whose keys come last in the keys of requests,
 // and of these the ones with the most unexplained crashes.
 func (t *Tracker) narrowest(changed []*record) (last []*record) {
