Quarantine the keys that explain crashes with few other runs, whatever their place

Callers were refused for sound parts, one after the other, while engines went on crashing on a harmful one. Of the keys with enough crashes the one that stands last in prompts was quarantined, and crashes that it explained accused nobody else.

Verdicts are now a function of the records: the key with the most crashes explains them first, one with runs whose upstream was alive 100 ms after their first event, or with many runs beside its crashes, comes last. Keys that explain nothing of their own are let go. VMs exchange both numbers. A full record holds the 16 crashes with the least IDs, so that all records hold the same sample.

--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math/bits"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -16,10 +17,10 @@
 	// what it sends at once.
 	sentBytesPerSecond = 1000
 	maxSentBytes       = 32 << 10
-	// maxExchanged is the number of records in one exchange that repairs losses, and maxSent the number
+	// maxExchanged is the number of records in one exchange that repairs losses, and maxTold the number
 	// of the most important records from which they are taken, and which are stored.
 	maxExchanged = 8
-	maxSent      = 256
+	maxTold      = 256
 	// minRecordBytes is the size of the smallest record.
 	minRecordBytes = 16
 	// minShortening is the least time by which another VM may shorten a span.
@@ -97,7 +98,7 @@
 // sendable returns the most important records.
 func (t *Tracker) sendable(condition func(*record) bool) []*record {
 	all := t.byImportance(condition)
-	return all[:min(len(all), maxSent)]
+	return all[:min(len(all), maxTold)]
 }
 
 // Next returns some records in turn, for an exchange that repairs losses: up to half of them of keys
@@ -136,15 +137,19 @@
 	out := t.Next(now)
 	return slices.DeleteFunc(out, func(m *fleetpb.PartRecord) bool {
 		return slices.ContainsFunc(theirs, func(o *fleetpb.PartRecord) bool {
-			return o.Part == m.Part && o.Round == m.Round && len(o.Crashes) == len(m.Crashes) && o.Spans == m.Spans && o.TrialCrashes == m.TrialCrashes
+			return o.Part == m.Part && o.Round == m.Round && len(o.Crashes) == len(m.Crashes) && o.Spans == m.Spans && o.TrialCrashes == m.TrialCrashes &&
+				!hasDoubled(o.Sent, m.Sent) && !hasDoubled(o.Alive, m.Alive)
 		})
 	})
 }
 
 func (r *record) encode(now clock.Time) *fleetpb.PartRecord {
 	m := &fleetpb.PartRecord{
-		Part: r.key, Round: r.round, AgeMs: now.Sub(r.changedAt).Uint32(), BlockedMs: r.until.Sub(now).Uint32(), Spans: r.spans,
-		Position: r.position, Wide: r.wide, TrialCrashes: r.trialCrashes,
+		Part: r.key, Round: r.round, AgeMs: now.Sub(r.changedAt).Uint32(),
+		Position: r.position, Wide: r.wide, TrialCrashes: r.trialCrashes, Sent: r.sent, Alive: r.alive,
+	}
+	if r.guilty {
+		m.BlockedMs, m.Spans = r.until.Sub(now).Uint32(), r.spans
 	}
 	for _, c := range r.crashes {
 		m.Crashes = append(m.Crashes, &fleetpb.PartCrash{Id: c.id, Request: c.request})
@@ -154,37 +159,27 @@
 
 // Merge unites records of another VM with the own ones.
 func (t *Tracker) Merge(now clock.Time, vm string, records []*fleetpb.PartRecord) (events []Event) {
-	var changed []*record
-	lifted := false
 	for _, m := range records {
-		theirs := record{spans: m.Spans}
+		theirs := record{guilty: m.Spans > 0}
 		if m.Part == "" || clock.Duration(m.AgeMs) > theirs.lifetime() {
 			continue
 		}
 		r := t.record(now, m.Part, m.Position)
-		wasQuarantined := r.isQuarantined()
 		if !t.mergeRecord(now, r, m) {
 			continue
 		}
 		if r.wide = r.wide || m.Wide; r.wide || len(r.crashes) >= suspectCrashes || r.isQuarantined() {
 			t.markUnsent(r)
 		}
-		if r.isQuarantined() || wasQuarantined || len(r.crashes) >= suspectCrashes {
+		if r.isQuarantined() || len(r.crashes) >= suspectCrashes {
 			events = append(events, Event{Kind: Learned, Key: r.key, Crashes: len(r.crashes), Requests: requests(r.crashes), VM: vm, Span: max(0, r.until.Sub(now))})
 		}
 		if survivedAt, _ := t.survived.Get(r.key); len(r.crashes) > 0 && t.isSound(now, r.key) {
 			events = append(events, t.clear(survivedAt, r))
 		}
-		lifted = lifted || wasQuarantined && !r.isQuarantined()
-		if len(r.crashes) > 0 {
-			changed = append(changed, r)
-		}
 	}
 	t.evict()
-	if lifted {
-		return append(events, t.judgeAll(now)...)
-	}
-	return append(events, t.judge(now, changed)...)
+	return append(events, t.judge(now)...)
 }
 
 // mergeRecord merges a record of another VM into the own one, and reports whether that changed it.
@@ -198,7 +193,8 @@
 		return false
 	}
 	if m.Round > r.round {
-		r.round, r.crashes, r.spans, r.until, r.trialCrashes, changed = m.Round, nil, 0, 0, 0, true
+		t.reset(r)
+		r.round, changed = m.Round, true
 		if len(m.Crashes) == 0 && m.Spans == 0 {
 			// Another VM cleared the part.
 			at, _ := t.survived.Get(r.key)
@@ -206,12 +202,14 @@
 		}
 	}
 	for _, c := range m.Crashes {
-		changed = t.addCrash(r, crash{id: c.Id, request: c.Request}) || changed
+		changed = t.addCrash(now, r, crash{id: c.Id, request: c.Request}) || changed
 	}
+	changed = t.mergeCount(r, &r.sent, m.Sent) || changed
+	changed = t.mergeCount(r, &r.alive, m.Alive) || changed
 	if m.Spans > r.spans {
 		r.spans, r.until, changed = m.Spans, now.Add(clock.Duration(m.BlockedMs)), true
 	}
-	if until := now.Add(clock.Duration(m.BlockedMs)); m.Spans == r.spans && r.isQuarantined() && r.until.Sub(until) > minShortening {
+	if until := now.Add(clock.Duration(m.BlockedMs)); m.Spans == r.spans && r.spans > 0 && r.until.Sub(until) > minShortening {
 		r.until, changed = until, true
 	}
 	if m.TrialCrashes > r.trialCrashes {
@@ -222,3 +220,17 @@
 	}
 	return changed
 }
+
+// mergeCount merges a number of runs, and reports whether others are to be told of it.
+func (t *Tracker) mergeCount(r *record, n *uint32, theirs uint32) (changed bool) {
+	if theirs <= *n {
+		return false
+	}
+	changed = hasDoubled(*n, theirs)
+	*n = theirs
+	t.suspects.changed(r)
+	return changed
+}
+
+// hasDoubled reports whether a number has reached another power of two.
+func hasDoubled(before, after uint32) bool { return bits.Len32(before) < bits.Len32(after) }
--- a/internal/request/quarantine/guard.go
+++ b/internal/request/quarantine/guard.go
@@ -89,6 +89,11 @@
 	return g.tracker.Crashes(keys)
 }
 
+// runAlive records that the upstream of a run with the given keys was alive aliveTime after the first event.
+func (g *Guard) runAlive(keys []string) {
+	g.update(func(now clock.Time) []Event { return g.tracker.RunAlive(now, keys) })
+}
+
 // RunSurvived records that a run with the given keys survived.
 func (g *Guard) RunSurvived(keys []string) {
 	if g == nil || len(keys) == 0 {
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -4,9 +4,9 @@
 // What is accused has a key: the ID of a part, or the fingerprint that a request has in common with
 // its repetitions. A run that breaks together with its upstream before it has survived for
 // SurviveTime accuses its keys, unless another run with the key survived recently. Keys are accused
-// fleet-wide: the VMs exchange their records and unite the crashes in them. A key that several
-// crashes accuse is quarantined, a part only through more than one request. Crashes that a
-// quarantined key explains accuse no other key. Trials, single requests that are let through at the
+// fleet-wide: the VMs exchange their records and unite the crashes in them. The fewest keys that
+// explain the crashes are quarantined, a part only through more than one request, unless many runs
+// with a key did not end their upstreams. Trials, single requests that are let through at the
 // end of each span of a quarantine, show whether the key is sound.
 //
 // A Tracker is deterministic and does no I/O. Guard makes it safe for concurrent use, and
@@ -24,19 +24,15 @@
 	"github.com/jasminecove/jasminecove/internal/base/recent"
 )
 
-// Conditions of a quarantine.
+// Times of evidence.
 const (
 	// SurviveTime is how long after its first event a run has survived.
 	SurviveTime = 1 * clock.Second
 	// soundTime is how long a key is not accused after a run with it has survived.
 	soundTime = 5 * clock.Second
-	// A request is quarantined after minCrashes crashes, a part after as many of minRequests requests.
-	minCrashes  = 3
-	minRequests = 2
-	// A part with wideCrashes crashes is quarantined if narrower parts leave wideUnexplained of them
-	// unexplained.
-	wideCrashes     = 5
-	wideUnexplained = 2
+	// aliveTime is how long after the first event of a run its upstream must be alive to have begun the answer without
+	// a crash.
+	aliveTime = 100 * clock.Millisecond
 	// confirmTime is the longest time between the break of a run and the finding that its
 	// upstream has ended.
 	confirmTime = 5 * clock.Second
@@ -46,13 +42,12 @@
 
 // Limits of what a Tracker remembers.
 const (
-	maxRecords   = 2048
-	maxCrashes   = 8 // In one record.
-	maxSurvivors = 4096
+	maxRecords   = 8192
+	maxCrashes   = 16 // In one record.
+	maxSurvivors = 32768
 	maxUpstreams = 512  // With broken runs, and that ended.
-	maxBroken    = 64   // Latest broken runs of one upstream.
+	maxBroken    = 1024 // Latest broken runs of one upstream.
 	maxBreaks    = 4096 // That have accused.
-	maxExplained = 512
 )
 
 // Run is a run of a request on an upstream.
@@ -77,10 +72,14 @@
 // later round replaces earlier ones.
 type record struct {
 	key       string
-	position  uint32  // First position in the keys of a request, from 1; 0 if it is not known.
-	round     uint32  // Incremented when the key is cleared.
-	crashes   []crash // Sorted by id.
+	position  uint32     // First position in the keys of a request, from 1; 0 if it is not known.
+	round     uint32     // Incremented when the key is cleared.
+	crashes   []crash    // Sorted by id; those with the least ids if there are more than maxCrashes.
+	crashedAt clock.Time // When the VM last learned of a crash.
 	changedAt clock.Time
+	sent      uint32     // Most runs with the key that one VM has sent since it knows of a crash.
+	alive     uint32     // Most of them whose upstream was alive aliveTime after the first event.
+	guilty    bool       // Requests with the key are kept from upstreams.
 	spans     uint32     // Number of the quarantine's span, 0 without a quarantine.
 	until     clock.Time // End of the span.
 	turn      turn       // At the trial after the span.
@@ -103,7 +102,7 @@
 	broken    *recent.Map[string, []brokenRun] // By upstream.
 	ended     *recent.Map[string, clock.Time]  // When each upstream was found to have ended.
 	accusers  *recent.Map[uint64, bool]        // Breaks that have accused.
-	explained *recent.Map[uint64, string]      // Crashes that a quarantined key explains.
+	suspects  suspects
 	sent      sendBudget
 	pending   bool     // Some records are unsent.
 	exchanges int      // Number of exchanges so far.
@@ -116,7 +115,7 @@
 	return &Tracker{
 		records: map[string]*record{}, survived: recent.New[string, clock.Time](maxSurvivors),
 		broken: recent.New[string, []brokenRun](maxUpstreams), ended: recent.New[string, clock.Time](maxUpstreams),
-		accusers: recent.New[uint64, bool](maxBreaks), explained: recent.New[uint64, string](maxExplained),
+		accusers: recent.New[uint64, bool](maxBreaks), suspects: newSuspects(),
 	}
 }
 
@@ -154,20 +153,36 @@
 	return most
 }
 
+// RunAlive records that the upstream of a run with the given keys was alive aliveTime after the first event.
+func (t *Tracker) RunAlive(now clock.Time, keys []string) []Event {
+	for _, k := range keys {
+		if r := t.records[k]; r != nil && len(r.crashes) > 0 {
+			t.count(r, &r.alive)
+		}
+	}
+	return t.judge(now)
+}
+
+// count increments a number of runs in a record. When it doubles, the key is judged again and other VMs are told.
+func (t *Tracker) count(r *record, n *uint32) {
+	if *n++; *n&(*n-1) != 0 {
+		return
+	}
+	t.suspects.changed(r)
+	if r.wide {
+		t.markUnsent(r)
+	}
+}
+
 // RunSurvived records that a run with the given keys survived.
 func (t *Tracker) RunSurvived(now clock.Time, keys []string) (events []Event) {
-	lifted := false
 	for _, k := range keys {
 		t.survived.Set(k, now)
 		if r := t.records[k]; r != nil && len(r.crashes) > 0 {
-			lifted = lifted || r.isQuarantined()
 			events = append(events, t.clear(now, r))
 		}
 	}
-	if lifted {
-		events = append(events, t.judgeAll(now)...)
-	}
-	return events
+	return append(events, t.judge(now)...)
 }
 
 // RunBroke records that a run broke before it had survived. Once the upstream is found to have
@@ -177,7 +192,8 @@
 		return nil
 	}
 	if at, ok := t.ended.Get(run.Upstream); ok && now.Sub(at) <= confirmTime {
-		return t.accuse(now, run)
+		events = t.accuse(now, run)
+		return append(events, t.judge(now)...)
 	}
 	runs, _ := t.broken.Get(run.Upstream)
 	runs = slices.DeleteFunc(runs, func(b brokenRun) bool { return now.Sub(b.at) > confirmTime })
@@ -198,18 +214,31 @@
 			events = append(events, t.accuse(now, b.Run)...)
 		}
 	}
-	return events
+	return append(events, t.judge(now)...)
 }
 
 // clear ends the accusation of a key and its quarantine, as a run with it survived at a time.
 func (t *Tracker) clear(survivedAt clock.Time, r *record) Event {
 	e := Event{Kind: Cleared, Key: r.key, Crashes: len(r.crashes), Requests: requests(r.crashes), Reason: "a run with it survived"}
 	r.round++
-	r.crashes, r.spans, r.until, r.trialCrashes, r.changedAt = nil, 0, 0, 0, survivedAt
+	t.reset(r)
+	r.changedAt = survivedAt
 	t.markUnsent(r)
 	return e
 }
 
+// reset removes what accuses a key.
+func (t *Tracker) reset(r *record) {
+	t.suspects.remove(r, r.crashes)
+	r.crashes, r.sent, r.alive, r.guilty, r.spans, r.until, r.trialCrashes = nil, 0, 0, false, 0, 0, 0
+}
+
+// forget removes a record.
+func (t *Tracker) forget(r *record) {
+	t.reset(r)
+	delete(t.records, r.key)
+}
+
 // markUnsent notes that a record changed. Records that only one crash accuses are sent to the homes of
 // their keys, others to all VMs.
 func (t *Tracker) markUnsent(r *record) {
@@ -217,7 +246,9 @@
 	r.unsent, t.pending = true, true
 }
 
-func (r *record) isQuarantined() bool { return r.spans > 0 }
+func (r *record) isQuarantined() bool { return r.guilty }
+
+func (r *record) isFull() bool { return len(r.crashes) >= maxCrashes }
 
 // requests returns the number of requests under which upstreams crashed.
 func requests(crashes []crash) int {
@@ -234,24 +265,6 @@
 	return slices.ContainsFunc(r.crashes, func(c crash) bool { return c.id == id })
 }
 
-// add adds a crash and reports whether it was new. If the record is full, it replaces a crash that
-// replaceable holds for.
-func (r *record) add(c crash, replaceable func(crash) bool) bool {
-	if r.has(c.id) {
-		return false
-	}
-	if len(r.crashes) >= maxCrashes {
-		i := slices.IndexFunc(r.crashes, replaceable)
-		if i < 0 {
-			return false
-		}
-		r.crashes = slices.Delete(r.crashes, i, i+1)
-	}
-	at, _ := slices.BinarySearchFunc(r.crashes, c, func(a, b crash) int { return cmp.Compare(a.id, b.id) })
-	r.crashes = slices.Insert(r.crashes, at, c)
-	return true
-}
-
 // record returns the record of a key at a position in the keys of a request, from 1, or 0.
 func (t *Tracker) record(now clock.Time, key string, position uint32) *record {
 	r := t.records[key]
@@ -271,10 +284,10 @@
 		if r.isQuarantined() {
 			events = append(events, Event{Kind: Ended, Key: r.key, Crashes: len(r.crashes)})
 		}
-		delete(t.records, r.key)
+		t.forget(r)
 	}
 	t.evict()
-	return events
+	return append(events, t.judge(now)...)
 }
 
 // lifetime returns how long the record is kept after its last change.
@@ -291,7 +304,7 @@
 		return
 	}
 	for _, r := range t.byImportance(nil)[maxRecords:] {
-		delete(t.records, r.key)
+		t.forget(r)
 	}
 }
 
@@ -305,7 +318,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(min(b.spans, 1), min(a.spans, 1)), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.changedAt, a.changedAt), cmp.Compare(a.key, b.key))
+		return cmp.Or(compareBool(b.guilty, a.guilty), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.changedAt, a.changedAt), cmp.Compare(a.key, b.key))
 	})
 	return out
 }
--- a/internal/request/quarantine/watch.go
+++ b/internal/request/quarantine/watch.go
@@ -76,6 +76,7 @@
 	upstreams  []Run // The upstreams that the run depends on.
 	firstEvent clock.Time
 	began      bool // The first event has arrived.
+	alive      bool // The upstream was alive aliveTime after it.
 	survived   bool
 }
 
@@ -131,7 +132,12 @@
 		r.began, r.firstEvent = true, now
 	}
 	survives := !r.survived && now.Sub(r.firstEvent) >= SurviveTime
+	isAlive := !r.alive && now.Sub(r.firstEvent) >= aliveTime
+	r.alive = r.alive || isAlive
 	r.mu.Unlock()
+	if isAlive {
+		r.w.guard.runAlive(r.w.keys)
+	}
 	if survives {
 		r.survive()
 	}
