--- a/internal/node/controlplane/parts.go
+++ b/internal/node/controlplane/parts.go
@@ -39,9 +39,9 @@
 				p.sendParts(address, &fleetpb.PartRecords{Records: all})
 			}
 		}
-		for vm, records := range byVM {
+		for vm, m := range byVM {
 			if address, ok := p.address(vm); ok {
-				p.sendParts(address, &fleetpb.PartRecords{Records: records})
+				p.sendParts(address, m)
 			}
 		}
 		if exchange {
@@ -54,17 +54,13 @@
 	p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Parts{Parts: m}})
 }
 
-// handleParts merges the records of another VM, and sends back what it lacks if it asks for that.
+// handleParts takes what another VM sent, and sends back what that VM is to know.
 func (p *Plane) handleParts(vm string, m *fleetpb.PartRecords) {
 	if p.cfg.Parts == nil {
 		return
 	}
-	p.cfg.Parts.Merge(vm, m.Records)
-	if !m.Exchange {
-		return
-	}
-	records := p.cfg.Parts.Differing(m.Records)
-	if address, ok := p.address(vm); ok && len(records) > 0 {
-		p.sendParts(address, &fleetpb.PartRecords{Records: records})
+	reply := p.cfg.Parts.Receive(vm, m)
+	if address, ok := p.address(vm); ok && reply != nil {
+		p.sendParts(address, reply)
 	}
 }
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -103,12 +103,13 @@
 // PartExchange holds what a VM knows of the requests and prompt parts on which upstreams crash.
 type PartExchange interface {
 	Merge(vm string, records []*fleetpb.PartRecord)
-	// All returns all records, and Differing some that another VM lacks.
+	// Receive takes what another VM sent, and returns what it is to be sent back, or nil.
+	Receive(vm string, m *fleetpb.PartRecords) *fleetpb.PartRecords
+	// All returns all records.
 	All() []*fleetpb.PartRecord
-	Differing(theirs []*fleetpb.PartRecord) []*fleetpb.PartRecord
-	// TakeUnsent returns the records to be sent to a number of gossip targets, and those to be sent to
-	// single VMs. Next returns some in turn.
-	TakeUnsent(targets int) (all []*fleetpb.PartRecord, byVM map[string][]*fleetpb.PartRecord)
+	// TakeUnsent returns the records to be sent to a number of gossip targets, and messages to be sent to
+	// single VMs. Next returns some records in turn.
+	TakeUnsent(targets int) (all []*fleetpb.PartRecord, byVM map[string]*fleetpb.PartRecords)
 	Next() []*fleetpb.PartRecord
 	// Changed is signalled when TakeUnsent has records.
 	Changed() <-chan struct{}
--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -7,7 +7,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
-	"github.com/jasminecove/jasminecove/internal/base/rendezvous"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
@@ -15,32 +14,29 @@
 const (
 	// sentBytesPerSecond bounds what a VM sends on average of changed records, and maxSentBytes
 	// what it sends at once.
-	sentBytesPerSecond = 1000
-	maxSentBytes       = 32 << 10
+	sentBytesPerSecond = 600
+	maxSentBytes       = 16 << 10
 	// maxExchanged is the number of records in one exchange that repairs losses, and maxTold the number
 	// of the most important records from which they are taken, and which are stored.
 	maxExchanged = 8
 	maxTold      = 256
-	// minRecordBytes is the size of the smallest record.
-	minRecordBytes = 16
 	// minShortening is the least time by which another VM may shorten a span.
 	minShortening = 500 * clock.Millisecond
-	// homesPerKey is the number of VMs that are told of a key that only one crash accuses.
-	homesPerKey = 2
 )
 
 // sendBudget bounds the bytes sent to other VMs.
 type sendBudget struct {
-	bytes float64
-	last  clock.Time
+	perSecond, burst float64
+	bytes            float64
+	last             clock.Time
 }
 
 // fill adds the bytes that may be sent since it was last called.
 func (b *sendBudget) fill(now clock.Time) {
 	if b.last == 0 {
-		b.bytes = maxSentBytes
+		b.bytes = b.burst
 	} else {
-		b.bytes = min(maxSentBytes, b.bytes+sentBytesPerSecond*float64(now.Sub(b.last))/float64(clock.Second))
+		b.bytes = min(b.burst, b.bytes+b.perSecond*float64(now.Sub(b.last))/float64(clock.Second))
 	}
 	b.last = now
 }
@@ -55,46 +51,25 @@
 	return true
 }
 
-// TakeUnsent returns the records that changed since they were last returned: those to be sent to a
-// number of gossip targets, and those to be sent to the homes of their keys, by VM. The most important
-// ones are first. What exceeds the limit on bytes is returned later.
-func (t *Tracker) TakeUnsent(now clock.Time, targets int) (all []*fleetpb.PartRecord, byVM map[string][]*fleetpb.PartRecord) {
-	if t.sent.fill(now); t.sent.bytes < float64(targets*minRecordBytes) {
-		return nil, nil
-	}
+// TakeUnsent returns the records that changed since they were last returned, with the crashes that are new, for a number of
+// gossip targets, and accusations for single VMs. The most important records are first. What exceeds the limit on
+// bytes is returned later.
+func (t *Tracker) TakeUnsent(now clock.Time, targets int) (all []*fleetpb.PartRecord, byVM map[string]*fleetpb.PartRecords) {
 	t.pending = false
-	byVM = map[string][]*fleetpb.PartRecord{}
-	for _, r := range t.byImportance(func(r *record) bool { return r.unsent && (r.wide || len(t.vms) > 0) }) {
-		m, n, to := r.encode(now), targets, []string(nil)
-		if !r.wide {
-			to = t.homesOf(r)
-			n = len(to)
-		}
-		if !t.sent.take(now, n*proto.Size(m)) {
+	byVM = t.takeAccusations(now)
+	for _, r := range t.byImportance(func(r *record) bool { return r.unsent && r.wide }) {
+		m := r.encode(now, r.fresh)
+		if !t.sent.take(now, targets*proto.Size(m)) {
 			t.pending = true
 			break
 		}
-		r.unsent = false
-		if r.wide {
-			all = append(all, m)
-		}
-		for _, vm := range to {
-			byVM[vm] = append(byVM[vm], m)
-		}
+		r.unsent, r.fresh = false, nil
+		all = append(all, m)
 	}
+	t.pending = t.pending || len(t.accusations.pending) > 0
 	return all, byVM
 }
 
-// homesOf returns the VMs other than this one that unite what all VMs know of a key that only one crash
-// accuses so far. Nobody needs to be told of one that another key explains.
-func (t *Tracker) homesOf(r *record) []string {
-	if len(r.crashes) > 0 && len(t.unexplained(r)) == 0 {
-		return nil
-	}
-	order := rendezvous.Rank(r.key, t.vms)
-	return slices.DeleteFunc(order[:min(homesPerKey, len(order))], func(vm string) bool { return vm == t.self })
-}
-
 // sendable returns the most important records.
 func (t *Tracker) sendable(condition func(*record) bool) []*record {
 	all := t.byImportance(condition)
@@ -118,7 +93,7 @@
 func (t *Tracker) inTurn(now clock.Time, records []*record, n int) (out []*fleetpb.PartRecord) {
 	n = min(n, len(records))
 	for i := range n {
-		out = append(out, records[(t.exchanges*n+i)%len(records)].encode(now))
+		out = append(out, records[(t.exchanges*n+i)%len(records)].encodeAll(now))
 	}
 	return out
 }
@@ -127,7 +102,7 @@
 func (t *Tracker) All(now clock.Time) []*fleetpb.PartRecord {
 	var out []*fleetpb.PartRecord
 	for _, r := range t.sendable(nil) {
-		out = append(out, r.encode(now))
+		out = append(out, r.encodeAll(now))
 	}
 	return out
 }
@@ -143,7 +118,10 @@
 	})
 }
 
-func (r *record) encode(now clock.Time) *fleetpb.PartRecord {
+func (r *record) encodeAll(now clock.Time) *fleetpb.PartRecord { return r.encode(now, r.crashes) }
+
+// encode encodes a record with some of its crashes.
+func (r *record) encode(now clock.Time, crashes []crash) *fleetpb.PartRecord {
 	m := &fleetpb.PartRecord{
 		Part: r.key, Round: r.round, AgeMs: now.Sub(r.changedAt).Uint32(),
 		Position: r.position, Wide: r.wide, TrialCrashes: r.trialCrashes, Sent: r.sent, Alive: r.alive,
@@ -151,7 +129,7 @@
 	if r.guilty {
 		m.BlockedMs, m.Spans = r.until.Sub(now).Uint32(), r.spans
 	}
-	for _, c := range r.crashes {
+	for _, c := range crashes {
 		m.Crashes = append(m.Crashes, &fleetpb.PartCrash{Id: c.id, Request: c.request})
 	}
 	return m
--- a/internal/request/quarantine/guard.go
+++ b/internal/request/quarantine/guard.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -131,9 +132,27 @@
 	g.update(g.tracker.Tick)
 }
 
-// TakeUnsent returns the records that changed since they were last returned: those to be sent to a
-// number of gossip targets, and those to be sent to single VMs.
-func (g *Guard) TakeUnsent(targets int) (all []*fleetpb.PartRecord, byVM map[string][]*fleetpb.PartRecord) {
+// Receive unites what another VM sent with what is known, and returns what it is to be sent back, or nil.
+func (g *Guard) Receive(vm string, m *fleetpb.PartRecords) *fleetpb.PartRecords {
+	var reply fleetpb.PartRecords
+	g.update(func(now clock.Time) []Event {
+		events := g.tracker.Merge(now, vm, m.Records)
+		matches, heard := g.tracker.HearAccusations(now, m.Accusations)
+		reply.Matches = matches
+		if m.Exchange {
+			reply.Records = g.tracker.Differing(now, m.Records)
+		}
+		return slices.Concat(events, heard, g.tracker.HearMatches(now, m.Matches))
+	})
+	if len(reply.Records)+len(reply.Matches) == 0 {
+		return nil
+	}
+	return &reply
+}
+
+// TakeUnsent returns what has changed since it was last returned: records to be sent to a number of gossip targets,
+// and messages to be sent to single VMs.
+func (g *Guard) TakeUnsent(targets int) (all []*fleetpb.PartRecord, byVM map[string]*fleetpb.PartRecords) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.tracker.TakeUnsent(g.clock.Now(), targets)
@@ -159,13 +178,6 @@
 	return g.tracker.All(g.clock.Now())
 }
 
-// Differing returns the records that the sender of some others lacks or has in an older state.
-func (g *Guard) Differing(theirs []*fleetpb.PartRecord) []*fleetpb.PartRecord {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.tracker.Differing(g.clock.Now(), theirs)
-}
-
 // Version returns a number that grows whenever what the Guard knows has changed.
 func (g *Guard) Version() uint64 {
 	g.mu.Lock()
--- a/internal/request/quarantine/judge.go
+++ b/internal/request/quarantine/judge.go
@@ -36,6 +36,7 @@
 	}
 	c := crash{id: crashID(run.Upstream, run.StartedMs), request: requestHash(run)}
 	parts := countParts(run.Keys)
+	var single []uint32
 	for i, k := range run.Keys {
 		if t.isSound(now, k) {
 			continue
@@ -50,8 +51,12 @@
 		}
 		r.changedAt = now
 		t.markUnsent(r)
+		if !r.wide && len(t.vms) > 1 {
+			single = append(single, keyHash(k))
+		}
 		events = append(events, Event{Kind: Accused, Key: k, Crashes: len(r.crashes), Requests: requests(r.crashes), Upstream: run.Upstream, RequestID: run.RequestID})
 	}
+	t.accusations.add(now, c, single)
 	if run.Trial {
 		t.judgeTrial(now, run, c)
 	}
@@ -74,6 +79,7 @@
 		t.suspects.remove(r, r.crashes[n-1:])
 		r.crashes = r.crashes[:maxCrashes]
 	}
+	r.fresh = append(r.fresh, c)
 	t.suspects.add(r)
 	return true
 }
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -33,6 +33,8 @@
 	// aliveTime is how long after the first event of a run its upstream must be alive to have begun the answer without
 	// a crash.
 	aliveTime = 100 * clock.Millisecond
+	// aliveMemory is how long it is known of a key that a run with it has survived.
+	aliveMemory = 1 * clock.Minute
 	// confirmTime is the longest time between the break of a run and the finding that its
 	// upstream has ended.
 	confirmTime = 5 * clock.Second
@@ -85,8 +87,9 @@
 	turn      turn       // At the trial after the span.
 	// trialCrashes is the number of upstreams that crashed in trials.
 	trialCrashes uint32
-	wide         bool // Had two crashes or more, so that all VMs are told of it.
-	unsent       bool // Changed since it was last sent to other VMs.
+	wide         bool    // Had two crashes or more, so that all VMs are told of it.
+	unsent       bool    // Changed since it was last sent to other VMs.
+	fresh        []crash // Learned since then.
 }
 
 // brokenRun is an early run that broke, whose upstream may have crashed.
@@ -97,25 +100,28 @@
 
 // Tracker holds what a VM knows of the keys on which upstreams crash.
 type Tracker struct {
-	records   map[string]*record
-	survived  *recent.Map[string, clock.Time]  // When a run with each key last survived.
-	broken    *recent.Map[string, []brokenRun] // By upstream.
-	ended     *recent.Map[string, clock.Time]  // When each upstream was found to have ended.
-	accusers  *recent.Map[uint64, bool]        // Breaks that have accused.
-	suspects  suspects
-	sent      sendBudget
-	pending   bool     // Some records are unsent.
-	exchanges int      // Number of exchanges so far.
-	self      string   // Name of this VM.
-	vms       []string // Names of the live VMs, which take turns at trials.
+	records     map[string]*record
+	byHash      map[uint32]*record               // Records by the hash of their key.
+	survived    *recent.Map[string, clock.Time]  // When a run with each key last survived.
+	broken      *recent.Map[string, []brokenRun] // By upstream.
+	ended       *recent.Map[string, clock.Time]  // When each upstream was found to have ended.
+	accusers    *recent.Map[uint64, bool]        // Breaks that have accused.
+	suspects    suspects
+	accusations accusations
+	sent        sendBudget
+	pending     bool     // Some records are unsent.
+	exchanges   int      // Number of exchanges so far.
+	self        string   // Name of this VM.
+	vms         []string // Names of the live VMs, which take turns at trials.
 }
 
 // New returns an empty Tracker.
 func New() *Tracker {
 	return &Tracker{
-		records: map[string]*record{}, survived: recent.New[string, clock.Time](maxSurvivors),
+		records: map[string]*record{}, byHash: map[uint32]*record{}, survived: recent.New[string, clock.Time](maxSurvivors),
 		broken: recent.New[string, []brokenRun](maxUpstreams), ended: recent.New[string, clock.Time](maxUpstreams),
 		accusers: recent.New[uint64, bool](maxBreaks), suspects: newSuspects(),
+		accusations: newAccusations(), sent: sendBudget{perSecond: sentBytesPerSecond, burst: maxSentBytes},
 	}
 }
 
@@ -222,7 +228,7 @@
 	e := Event{Kind: Cleared, Key: r.key, Crashes: len(r.crashes), Requests: requests(r.crashes), Reason: "a run with it survived"}
 	r.round++
 	t.reset(r)
-	r.changedAt = survivedAt
+	r.alive, r.changedAt = 1, survivedAt
 	t.markUnsent(r)
 	return e
 }
@@ -230,17 +236,19 @@
 // reset removes what accuses a key.
 func (t *Tracker) reset(r *record) {
 	t.suspects.remove(r, r.crashes)
-	r.crashes, r.sent, r.alive, r.guilty, r.spans, r.until, r.trialCrashes = nil, 0, 0, false, 0, 0, 0
+	r.crashes, r.fresh, r.sent, r.alive, r.guilty, r.spans, r.until, r.trialCrashes = nil, nil, 0, 0, false, 0, 0, 0
 }
 
 // forget removes a record.
 func (t *Tracker) forget(r *record) {
 	t.reset(r)
 	delete(t.records, r.key)
+	if h := keyHash(r.key); t.byHash[h] == r {
+		delete(t.byHash, h)
+	}
 }
 
-// markUnsent notes that a record changed. Records that only one crash accuses are sent to the homes of
-// their keys, others to all VMs.
+// markUnsent notes that a record changed. Records that more than one crash accuses are sent to all VMs.
 func (t *Tracker) markUnsent(r *record) {
 	r.wide = r.wide || len(r.crashes) >= suspectCrashes || r.isQuarantined()
 	r.unsent, t.pending = true, true
@@ -270,7 +278,10 @@
 	r := t.records[key]
 	if r == nil {
 		r = &record{key: key, changedAt: now}
-		t.records[key] = r
+		if at, ok := t.survived.Get(key); ok && now.Sub(at) <= aliveMemory {
+			r.alive = 1
+		}
+		t.records[key], t.byHash[keyHash(key)] = r, r
 	}
 	if position != 0 && (r.position == 0 || position < r.position) {
 		r.position = position
