--- a/internal/request/quarantine/judge.go
+++ b/internal/request/quarantine/judge.go
@@ -145,7 +145,7 @@
 	}
 	guilty = withoutRedundant(now, guilty)
 	for _, r := range suspects {
-		if r.isGuiltyAlone() && len(left[r]) > 0 && !slices.Contains(guilty, r) {
+		if r.isGuiltyAlone() && !slices.Contains(guilty, r) && !slices.ContainsFunc(guilty, func(o *record) bool { return o.isWithin(r) }) {
 			guilty = append(guilty, r)
 		}
 	}
@@ -220,10 +220,10 @@
 	return n >= clearCrashes && int(r.alive) <= n && sent <= suspectSent*n+slackSent
 }
 
-// isGuiltyAlone reports whether a key is quarantined although others explain most of its crashes, as they do where
-// upstreams crash on several keys at a time.
+// isGuiltyAlone reports whether a key is quarantined although others explain its crashes, as they do where upstreams
+// crash on several keys at a time: runs with it were sent, and all that are known of ended their upstreams.
 func (r *record) isGuiltyAlone() bool {
-	return len(r.crashes) >= clearCrashes && r.alive == 0 && int(r.sent) <= suspectSent*len(r.crashes)+slackSent && r.isGuiltyOf(r.crashes)
+	return len(r.crashes) >= clearCrashes && r.alive == 0 && r.sent > 0 && int(r.sent) <= suspectSent*len(r.crashes)+slackSent && r.isGuiltyOf(r.crashes)
 }
 
 // covers reports whether an upstream crashed under a run with the key, as far as the record tells: a full
@@ -240,6 +240,10 @@
 // withoutRedundant returns the keys without those whose crashes the other ones explain.
 func withoutRedundant(now clock.Time, guilty []*record) []*record {
 	for i := 0; i < len(guilty); {
+		if guilty[i].isGuiltyAlone() {
+			i++
+			continue
+		}
 		left := guilty[i].crashes
 		for j, r := range guilty {
 			if j != i {
