Unite crashes at homes until the third one, and make trials of proven keys later

Records in quarantine may overdraw the bytes by 4 KiB; keys with crashes of four requests, after none of which an upstream was alive, get their first trials 28 s later. Records go to all VMs with the third crash, which their homes unite; runs whose upstream was alive accuse last. Five crashes of one request say no more of its parts than one.

--- a/internal/request/quarantine/accusation.go
+++ b/internal/request/quarantine/accusation.go
@@ -20,7 +20,7 @@
 	homesPerGroup = 2
 	// accusationBytesPerSecond bounds what a VM sends on average of accusations.
 	accusationBytesPerSecond = 400
-	maxAccusationBytes       = 16 << 10
+	maxAccusationBytes       = 12 << 10
 	maxHeard                 = 16384
 	maxHeardCrashes          = 2
 	// accusationLifetime is how long an accusation is worth sending or being matched.
@@ -42,13 +42,15 @@
 	at clock.Time
 }
 
-// accusations holds what is exchanged of keys that only one crash accuses. Each VM tells the homes of a key, which
+// accusations holds what is exchanged of keys that only one crash accuses. Each VM tells the homes, which
 // send back another crash that they know of. Keys are exchanged as hashes: a collision adds a crash to the record of another
 // key.
 type accusations struct {
-	pending []accusation // The latest one is last.
-	heard   *recent.Map[uint32, []heardCrash]
-	budget  sendBudget
+	// urgent accusations are sent before pending ones, those of keys with a run whose upstream was alive after
+	// it began to answer. The latest ones are last.
+	urgent, pending []accusation
+	heard           *recent.Map[uint32, []heardCrash]
+	budget          sendBudget
 }
 
 func newAccusations() accusations {
@@ -56,18 +58,18 @@
 }
 
 // add adds an accusation to be sent.
-func (a *accusations) add(now clock.Time, c crash, keys []uint32) {
-	if len(keys) == 0 {
+func (a *accusations) add(queue *[]accusation, c accusation) {
+	if len(c.keys) == 0 {
 		return
 	}
-	if len(a.pending) >= maxPending {
-		a.pending = slices.Delete(a.pending, 0, 1)
+	if len(*queue) >= maxPending {
+		*queue = slices.Delete(*queue, 0, 1)
 	}
-	a.pending = append(a.pending, accusation{c, now, keys})
+	*queue = append(*queue, c)
 }
 
-// takeAccusations returns the accusations to be sent to the homes of their keys, the latest ones first. What exceeds
-// the limit on bytes is returned later.
+// takeAccusations returns the accusations to be sent to the homes, the latest ones first. What exceeds the limit on
+// bytes is returned later.
 func (t *Tracker) takeAccusations(now clock.Time) map[string]*fleetpb.PartRecords {
 	out := map[string]*fleetpb.PartRecords{}
 	if len(t.vms) == 0 {
@@ -79,41 +81,21 @@
 		homes[group] = order[:min(homesPerGroup, len(order))]
 	}
 	a := &t.accusations
-	for len(a.pending) > 0 {
-		last := a.pending[len(a.pending)-1]
-		if now.Sub(last.at) > accusationLifetime {
-			a.pending = nil
-			break
-		}
-		byGroup := [homeGroups]*fleetpb.PartAccusation{}
-		size := 0
-		for _, k := range last.keys {
-			m := byGroup[k%homeGroups]
-			if m == nil {
-				m = &fleetpb.PartAccusation{Crash: last.crash.id, Request: last.crash.request, AgeMs: now.Sub(last.at).Uint32()}
-				byGroup[k%homeGroups] = m
+	for _, queue := range []*[]accusation{&a.urgent, &a.pending} {
+		for len(*queue) > 0 {
+			last := (*queue)[len(*queue)-1]
+			if now.Sub(last.at) > accusationLifetime {
+				*queue = nil
+				break
 			}
-			m.Keys = append(m.Keys, k)
-		}
-		for group, m := range byGroup {
-			if m != nil {
-				size += len(homes[group]) * proto.Size(m)
+			groups, size := last.encode(now)
+			if !a.budget.take(now, homesPerGroup*size) {
+				return out
 			}
-		}
-		if !a.budget.take(now, size) {
-			break
-		}
-		a.pending = a.pending[:len(a.pending)-1]
-		for group, m := range byGroup {
-			for _, vm := range homes[group] {
-				switch {
-				case m == nil:
-				case vm == t.self:
-					t.hear(now, m)
-				case out[vm] == nil:
-					out[vm] = &fleetpb.PartRecords{Accusations: []*fleetpb.PartAccusation{m}}
-				default:
-					out[vm].Accusations = append(out[vm].Accusations, m)
+			*queue = (*queue)[:len(*queue)-1]
+			for group, m := range groups {
+				for _, vm := range homes[group] {
+					t.sendHome(now, out, vm, m)
 				}
 			}
 		}
@@ -121,6 +103,37 @@
 	return out
 }
 
+// sendHome adds an accusation to those for a home, which may be this VM.
+func (t *Tracker) sendHome(now clock.Time, out map[string]*fleetpb.PartRecords, vm string, m *fleetpb.PartAccusation) {
+	switch {
+	case m == nil:
+	case vm == t.self:
+		t.HearMatches(now, t.hear(now, m))
+	case out[vm] == nil:
+		out[vm] = &fleetpb.PartRecords{Accusations: []*fleetpb.PartAccusation{m}}
+	default:
+		out[vm].Accusations = append(out[vm].Accusations, m)
+	}
+}
+
+// encode returns a message for each group of keys, or nil without one, and the size of all.
+func (a accusation) encode(now clock.Time) (groups [homeGroups]*fleetpb.PartAccusation, size int) {
+	for _, k := range a.keys {
+		m := groups[k%homeGroups]
+		if m == nil {
+			m = &fleetpb.PartAccusation{Crash: a.crash.id, Request: a.crash.request, AgeMs: now.Sub(a.at).Uint32()}
+			groups[k%homeGroups] = m
+		}
+		m.Keys = append(m.Keys, k)
+	}
+	for _, m := range groups {
+		if m != nil {
+			size += proto.Size(m)
+		}
+	}
+	return groups, size
+}
+
 // HearAccusations unites accusations of another VM with what is known, and returns other crashes that accuse the same keys.
 func (t *Tracker) HearAccusations(now clock.Time, accusations []*fleetpb.PartAccusation) (matches []*fleetpb.PartAccusation, events []Event) {
 	for _, m := range accusations {
@@ -152,7 +165,7 @@
 		known, _ := t.accusations.heard.Get(h)
 		known = slices.DeleteFunc(slices.Clone(known), func(k heardCrash) bool { return now.Sub(k.at) > accusationLifetime })
 		for _, k := range known {
-			if k.id != c.id {
+			if len(known) >= minCrashes-1 && k.id != c.id {
 				matches = append(matches, &fleetpb.PartAccusation{Crash: k.id, Request: k.request, Keys: []uint32{h}, AgeMs: now.Sub(k.at).Uint32()})
 			}
 		}
--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -16,6 +16,8 @@
 	// what it sends at once.
 	sentBytesPerSecond = 600
 	maxSentBytes       = 16 << 10
+	// maxOverdraft is what it sends of records in quarantine besides, before it may send anything else.
+	maxOverdraft = 4 << 10
 	// maxExchanged is the number of records in one exchange that repairs losses, and maxTold the number
 	// of the most important records from which they are taken, and which are stored.
 	maxExchanged = 8
@@ -51,6 +53,15 @@
 	return true
 }
 
+// overdraw counts n bytes that may not wait, and reports whether they may be sent.
+func (b *sendBudget) overdraw(n int) bool {
+	if b.bytes-float64(n) < -maxOverdraft {
+		return false
+	}
+	b.bytes -= float64(n)
+	return true
+}
+
 // TakeUnsent returns the records that changed since they were last returned, with the crashes that are new, for a number of
 // gossip targets, and accusations for single VMs. The most important records are first. What exceeds the limit on
 // bytes is returned later.
@@ -59,14 +70,14 @@
 	byVM = t.takeAccusations(now)
 	for _, r := range t.byImportance(func(r *record) bool { return r.unsent && r.wide }) {
 		m := r.encode(now, r.fresh)
-		if !t.sent.take(now, targets*proto.Size(m)) {
+		if !t.sent.take(now, targets*proto.Size(m)) && !(r.guilty && t.sent.overdraw(targets*proto.Size(m))) {
 			t.pending = true
 			break
 		}
 		r.unsent, r.fresh = false, nil
 		all = append(all, m)
 	}
-	t.pending = t.pending || len(t.accusations.pending) > 0
+	t.pending = t.pending || len(t.accusations.urgent)+len(t.accusations.pending) > 0
 	return all, byVM
 }
 
@@ -146,7 +157,7 @@
 		if !t.mergeRecord(now, r, m) {
 			continue
 		}
-		if r.wide = r.wide || m.Wide; r.wide || len(r.crashes) >= suspectCrashes || r.isQuarantined() {
+		if r.wide = r.wide || m.Wide; r.wide || len(r.crashes) >= minCrashes || r.isQuarantined() {
 			t.markUnsent(r)
 		}
 		if r.isQuarantined() || len(r.crashes) >= suspectCrashes {
@@ -163,7 +174,7 @@
 // mergeRecord merges a record of another VM into the own one, and reports whether that changed it.
 func (t *Tracker) mergeRecord(now clock.Time, r *record, m *fleetpb.PartRecord) (changed bool) {
 	if m.Round < r.round {
-		if m.Wide {
+		if m.Wide || len(m.Crashes) >= suspectCrashes {
 			// The others do not know that the key was cleared.
 			r.wide = true
 			t.markUnsent(r)
--- a/internal/request/quarantine/judge.go
+++ b/internal/request/quarantine/judge.go
@@ -13,6 +13,8 @@
 	// A request is quarantined after minCrashes crashes, a part after as many of minRequests requests.
 	minCrashes  = 3
 	minRequests = 2
+	// A part is quarantined although others explain its crashes if those are of aloneRequests requests.
+	aloneRequests = 3
 	// With fewer crashes than clearCrashes, a part explains what a wider one does that has one crash more.
 	clearCrashes = 5
 	// A key on which upstreams crash has few runs beside those that end them, and no upstream is alive shortly
@@ -36,7 +38,7 @@
 	}
 	c := crash{id: crashID(run.Upstream, run.StartedMs), request: requestHash(run)}
 	parts := countParts(run.Keys)
-	var single []uint32
+	var urgent, pending []uint32 // Keys that no other crash accuses.
 	for i, k := range run.Keys {
 		if t.isSound(now, k) {
 			continue
@@ -51,12 +53,17 @@
 		}
 		r.changedAt = now
 		t.markUnsent(r)
-		if !r.wide && len(t.vms) > 1 {
-			single = append(single, keyHash(k))
+		switch {
+		case r.wide || len(t.vms) < 2:
+		case r.alive > 0 || run.Alive:
+			pending = append(pending, keyHash(k))
+		default:
+			urgent = append(urgent, keyHash(k))
 		}
 		events = append(events, Event{Kind: Accused, Key: k, Crashes: len(r.crashes), Requests: requests(r.crashes), Upstream: run.Upstream, RequestID: run.RequestID})
 	}
-	t.accusations.add(now, c, single)
+	t.accusations.add(&t.accusations.urgent, accusation{c, now, urgent})
+	t.accusations.add(&t.accusations.pending, accusation{c, now, pending})
 	if run.Trial {
 		t.judgeTrial(now, run, c)
 	}
@@ -223,7 +230,7 @@
 // isGuiltyAlone reports whether a key is quarantined although others explain its crashes, as they do where upstreams
 // crash on several keys at a time: runs with it were sent, and all that are known of ended their upstreams.
 func (r *record) isGuiltyAlone() bool {
-	return len(r.crashes) >= clearCrashes && r.alive == 0 && r.sent > 0 && int(r.sent) <= suspectSent*len(r.crashes)+slackSent && r.isGuiltyOf(r.crashes)
+	return len(r.crashes) >= clearCrashes && (isFingerprint(r.key) || requests(r.crashes) >= aloneRequests) && r.alive == 0 && r.sent > 0 && int(r.sent) <= suspectSent*len(r.crashes)+slackSent && r.isGuiltyOf(r.crashes)
 }
 
 // covers reports whether an upstream crashed under a run with the key, as far as the record tells: a full
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -62,6 +62,7 @@
 	// them that is found to have ended counts.
 	Break uint64
 	Trial bool // The run is a trial.
+	Alive bool // The upstream was alive aliveTime after the first event.
 }
 
 // crash is the end of an upstream under a run.
@@ -250,7 +251,7 @@
 
 // markUnsent notes that a record changed. Records that more than one crash accuses are sent to all VMs.
 func (t *Tracker) markUnsent(r *record) {
-	r.wide = r.wide || len(r.crashes) >= suspectCrashes || r.isQuarantined()
+	r.wide = r.wide || len(r.crashes) >= minCrashes || r.isQuarantined()
 	r.unsent, t.pending = true, true
 }
 
--- a/internal/request/quarantine/trial.go
+++ b/internal/request/quarantine/trial.go
@@ -17,6 +17,10 @@
 	// VMs that may doubles with each turnTime, up to all of them after maxDoublings.
 	turnTime     = 500 * clock.Millisecond
 	maxDoublings = 10
+	// provenDelay is how much later the first trials are of a key that provenRequests requests or more accuse, and
+	// that no upstream was alive after.
+	provenDelay    = 28 * clock.Second
+	provenRequests = 4
 	// suspectCrashes is the number of crashes of a narrower key with which a request is no trial of a
 	// key, as it may end an upstream for that reason.
 	suspectCrashes = minCrashes - 1
@@ -65,7 +69,7 @@
 		if r == nil || !r.isQuarantined() || t.mayTry(now, r, keys[i+1:]) {
 			continue
 		}
-		until := r.until
+		until := r.trialAt()
 		if r.trialCrashes >= maxTrialCrashes {
 			until = r.changedAt.Add(maxQuarantine)
 		}
@@ -112,20 +116,29 @@
 
 // mayTry reports whether a request may be the trial of a key. narrower are the request's keys after it.
 func (t *Tracker) mayTry(now clock.Time, r *record, narrower []string) bool {
-	if r.until > now || r.trialCrashes >= maxTrialCrashes {
+	due := r.trialAt()
+	if due > now || r.trialCrashes >= maxTrialCrashes {
 		return false
 	}
-	doublings := min(maxDoublings, int(now.Sub(r.until)/turnTime))
+	doublings := min(maxDoublings, int(now.Sub(due)/turnTime))
 	if doublings < maxDoublings && slices.ContainsFunc(narrower, t.isSuspect) {
 		return false
 	}
 	return t.rank(r) < 1<<doublings
 }
 
+// trialAt returns when the next trial may be made.
+func (r *record) trialAt() clock.Time {
+	if requests(r.crashes) >= provenRequests && r.isGuiltyAlone() && int(r.spans) < len(spans) {
+		return r.until.Add(provenDelay)
+	}
+	return r.until
+}
+
 // isSuspect reports whether a key may be the reason for crashes that another key is in quarantine for.
 func (t *Tracker) isSuspect(key string) bool {
 	r := t.records[key]
-	return r != nil && len(r.crashes) >= suspectCrashes
+	return r != nil && len(r.crashes) >= suspectCrashes && r.alive == 0
 }
 
 // turn is the position of this VM in the order of turns at the trial after a span, from 0.
--- a/internal/request/quarantine/watch.go
+++ b/internal/request/quarantine/watch.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
@@ -154,7 +155,7 @@
 // the end of the answer.
 func (r *WatchedRun) Complete(framed bool) {
 	r.mu.Lock()
-	survived, upstreams := r.survived, r.upstreams
+	survived, upstreams := r.survived, r.aliveRuns()
 	r.mu.Unlock()
 	switch {
 	case survived:
@@ -169,7 +170,7 @@
 // to have ended.
 func (r *WatchedRun) Broke() {
 	r.mu.Lock()
-	survived, upstreams := r.survived, r.upstreams
+	survived, upstreams := r.survived, r.aliveRuns()
 	r.mu.Unlock()
 	if survived {
 		return
@@ -184,7 +185,7 @@
 // accuses like a broken run, but does not keep the request from another run.
 func (r *WatchedRun) Abandoned() {
 	r.mu.Lock()
-	survived, upstreams := r.survived, r.upstreams
+	survived, upstreams := r.survived, r.aliveRuns()
 	r.mu.Unlock()
 	if !survived {
 		r.report(upstreams)
@@ -195,7 +196,7 @@
 // Lost records that the run lost an upstream, also if it goes on without it.
 func (r *WatchedRun) Lost(upstream string) {
 	r.mu.Lock()
-	survived, upstreams := r.survived, r.upstreams
+	survived, upstreams := r.survived, r.aliveRuns()
 	r.mu.Unlock()
 	if survived {
 		return
@@ -207,6 +208,15 @@
 	}
 }
 
+// aliveRuns returns the runs on the upstreams with what is known of them.
+func (r *WatchedRun) aliveRuns() []Run {
+	runs := slices.Clone(r.upstreams)
+	for i := range runs {
+		runs[i].Alive = r.alive
+	}
+	return runs
+}
+
 // report reports the break of the run. It counts for the first of the upstreams that is found to
 // have ended.
 func (r *WatchedRun) report(upstreams []Run) {
