--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -70,7 +70,9 @@
 	byVM = t.takeAccusations(now)
 	for _, r := range t.byImportance(func(r *record) bool { return r.unsent && r.wide }) {
 		m := r.encode(now, r.fresh)
-		if !t.sent.take(now, targets*proto.Size(m)) && !(r.guilty && t.sent.overdraw(targets*proto.Size(m))) {
+		size := targets * proto.Size(m)
+		sent := t.sent.take(now, size) || r.guilty && t.sent.overdraw(size)
+		if !sent {
 			t.pending = true
 			break
 		}
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -88,7 +88,7 @@
 	turn      turn       // At the trial after the span.
 	// trialCrashes is the number of upstreams that crashed in trials.
 	trialCrashes uint32
-	wide         bool    // Had two crashes or more, so that all VMs are told of it.
+	wide         bool    // Had minCrashes crashes, so that all VMs are told of it.
 	unsent       bool    // Changed since it was last sent to other VMs.
 	fresh        []crash // Learned since then.
 }
@@ -107,13 +107,13 @@
 	broken      *recent.Map[string, []brokenRun] // By upstream.
 	ended       *recent.Map[string, clock.Time]  // When each upstream was found to have ended.
 	accusers    *recent.Map[uint64, bool]        // Breaks that have accused.
-	suspects    suspects
+	suspects    suspects                         // Records with minCrashes crashes or more.
 	accusations accusations
-	sent        sendBudget
-	pending     bool     // Some records are unsent.
-	exchanges   int      // Number of exchanges so far.
-	self        string   // Name of this VM.
-	vms         []string // Names of the live VMs, which take turns at trials.
+	sent        sendBudget // Of records.
+	pending     bool       // Some records are unsent.
+	exchanges   int        // Number of exchanges so far.
+	self        string     // Name of this VM.
+	vms         []string   // Names of the live VMs, which take turns at trials.
 }
 
 // New returns an empty Tracker.
