Bound the numbers of runs that another VM's record may carry

A record with sent made the number of runs of the rarest suspect overflow, so that no suspect was quarantined beside it (by reading; no such record was seen). The numbers are cut to 2^20 where they enter; FuzzRecords has the record as a seed, which passes.

--- a/internal/request/quarantine/exchange.go
+++ b/internal/request/quarantine/exchange.go
@@ -22,6 +22,8 @@
 	// of the most important records from which they are taken, and which are stored.
 	maxExchanged = 8
 	maxTold      = 256
+	// maxCount is the largest number of runs that another VM's record may raise the own one to.
+	maxCount = 1 << 20
 	// minShortening is the least time by which another VM may shorten a span.
 	minShortening = 500 * clock.Millisecond
 )
@@ -214,6 +216,7 @@
 
 // mergeCount merges a number of runs, and reports whether others are to be told of it.
 func (t *Tracker) mergeCount(r *record, n *uint32, theirs uint32) (changed bool) {
+	theirs = min(theirs, maxCount)
 	if theirs <= *n {
 		return false
 	}
--- a/internal/request/quarantine/fuzz_test.go
+++ b/internal/request/quarantine/fuzz_test.go
@@ -20,6 +20,7 @@
 func FuzzRecords(f *testing.F) {
 	data, err := proto.Marshal(&fleetpb.PartRecords{Exchange: true, Accusations: []*fleetpb.PartAccusation{{Crash: 1, Request: 2, Keys: []uint32{3}}}, Matches: []*fleetpb.PartAccusation{{}}, Records: []*fleetpb.PartRecord{
 		{Part: "5c1e07a2", Round: 1, Spans: 2, BlockedMs: 1<<32 - 1, Crashes: []*fleetpb.PartCrash{{Id: 1, Request: 2}}}, {Part: "x", AgeMs: 1<<32 - 1, Round: 1<<32 - 1, Position: 1<<32 - 1},
+		{Part: "y", Sent: 1<<32 - 1, Alive: 1<<32 - 1, Crashes: []*fleetpb.PartCrash{{Id: 1, Request: 2}, {Id: 2, Request: 3}, {Id: 3, Request: 4}}},
 	}})
 	assert.NilError(f, err)
 	f.Add(data, "5c1e07a2:40,91bd3f06")
