Log reports that are older than what is known of their upstream

Operators saw nothing: a report that was taken replaced the true one of the same id, the true ones that followed got 200, and no line told them apart. Change: an announcement that does not replace what is known gets a line oldAnnouncement with both counts, and a counter. The decision is unchanged.

--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -308,6 +308,7 @@
 		return err
 	}
 	r.catalog.Announce(a)
+	r.recordIfOld(a)
 	if !a.Leaving {
 		return nil
 	}
@@ -392,6 +393,22 @@
 	r.quarantine.SetVMs(r.cfg.Settings.VM, live)
 }
 
+// recordIfOld counts and logs an announcement that did not replace what is known of its upstream, because
+// a later one, or the upstream's end, is known. One is late; a series says that the later one is not the
+// upstream's own.
+func (r *Router) recordIfOld(a *upstreampb.Announcement) {
+	known, live := r.catalog.Upstream(a.Id)
+	if live && known.StartedMs == a.StartedMs && known.Sequence <= a.Sequence {
+		return
+	}
+	r.tel.Metrics.Counter("old_announcements_total").Inc(1)
+	var startedMs, sequence uint64
+	if live {
+		startedMs, sequence = known.StartedMs, known.Sequence
+	}
+	r.log.Decision("oldAnnouncement", a.Id, "startedMs", a.StartedMs, "sequence", a.Sequence, "live", live, "knownStartedMs", startedMs, "knownSequence", sequence)
+}
+
 // RecordForeignAnnouncement counts and logs an announcement that does not identify a usable
 // upstream.
 func (r *Router) RecordForeignAnnouncement(id string, err error) {
