Refuse reports of services that no table names, and of layers beyond the model's

Cause: whether the tables name the service was looked at by nobody, so that an upstream of an unknown service was in the directory and sent to all VMs. Layers were bounded by a number, not by the model. Change: Catalog.Verify judges what an announcement newly claims by the tables in force. What is known of a live upstream is not judged again: a manifest may remove its service while it runs, and that it leaves must then still be acknowledged. Refused reports get 503, so that an upstream which is earlier than its tables asks another VM and tries again with its next report.

--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -302,11 +302,16 @@
 }
 
 // Announce adds an upstream's announcement to the catalog. That the upstream leaves is acknowledged only
-// once other VMs have recorded it. Announce fails on an isolated VM, which could not propagate it.
+// once other VMs have recorded it. Announce fails if the announcement names no upstream to use, and on an
+// isolated VM, which could not propagate it.
 func (r *Router) Announce(ctx context.Context, a *upstreampb.Announcement) error {
 	if err := r.isolated(); err != nil {
 		return err
 	}
+	if err := r.catalog.Verify(a); err != nil {
+		r.RecordForeignAnnouncement(a.Id, err)
+		return err
+	}
 	r.catalog.Announce(a)
 	r.recordIfOld(a)
 	if !a.Leaving {
--- a/internal/routing/lookup/lookup.go
+++ b/internal/routing/lookup/lookup.go
@@ -15,6 +15,7 @@
 	doc        *tables.Document
 	routes     map[routeKey]*tables.Route
 	pools      map[string]*tables.Pool
+	services   map[string]int // Most layers of a pool's model, by service.
 	keys       map[string]*tables.Organisation
 }
 
@@ -28,7 +29,7 @@
 func New(number uint64, doc *tables.Document) *Index {
 	x := &Index{
 		Generation: number, doc: doc, routes: make(map[routeKey]*tables.Route, len(doc.Routes)),
-		pools: map[string]*tables.Pool{}, keys: map[string]*tables.Organisation{},
+		pools: map[string]*tables.Pool{}, services: map[string]int{}, keys: map[string]*tables.Organisation{},
 	}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
@@ -37,7 +38,13 @@
 		}
 	}
 	for i := range doc.Pools {
-		x.pools[doc.Pools[i].Name] = &doc.Pools[i]
+		p := &doc.Pools[i]
+		x.pools[p.Name] = p
+		layers := 0
+		if p.Engine != nil {
+			layers = p.Engine.Layers
+		}
+		x.services[p.Service] = max(x.services[p.Service], layers)
 	}
 	for i := range doc.Organisations {
 		for _, k := range doc.Organisations[i].Keys {
@@ -76,6 +83,13 @@
 	return p, ok
 }
 
+// ServiceLayers returns the number of layers of the model of a service's engines, which is 0 for plain
+// services, and whether a pool names the service.
+func (x *Index) ServiceLayers(service string) (layers int, ok bool) {
+	layers, ok = x.services[service]
+	return layers, ok
+}
+
 // RequiresKey reports whether the tables have a list of organisations, so that requests need the
 // key of one. An empty list admits no key.
 func (x *Index) RequiresKey() bool { return x.doc.Organisations != nil }
