Read what a hedged call that lost says of its upstream

Callers saw: an upstream that says in its responses that it leaves, or for how long it wants no calls, got further ones while it answered later than the other upstream of a hedged call. Cause: the attempt that lost was cancelled at once, so its response was not read. Change: the attempt that lost goes on for a second at most, or until the caller leaves before there is a success.

--- a/internal/request/filter/hedge.go
+++ b/internal/request/filter/hedge.go
@@ -10,12 +10,17 @@
 	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 )
 
+// loserTimeout is how long an attempt goes on after the other one has succeeded. Its response may say that
+// the upstream leaves, or wants no calls, which would else never be read from one that is slow.
+const loserTimeout = time.Second
+
 // hedge sends an idempotent call, and sends it to a second upstream as well if the first
 // has not responded within the pool's HedgeAfter and the retry budget allows it. It returns
-// the first success and cancels the other attempt.
+// the first success and cancels the other attempt loserTimeout later, or when the caller leaves.
 func (s *Services) hedge(ctx context.Context, x *exchange.Exchange, watch *quarantine.Watch, u *registry.Upstream, tried []string) (attempt, []string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	caller := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
+	stop := context.AfterFunc(caller, cancel)
 	answers := make(chan attempt, 2)
 	send := func(u *registry.Upstream) {
 		tried = append(tried, u.Id)
@@ -26,6 +31,13 @@
 	timer := time.NewTimer(x.Pool.HedgeAfter.Std())
 	defer timer.Stop()
 	var last attempt
+	defer func() {
+		if stop(); pending > 0 && caller.Err() == nil {
+			time.AfterFunc(loserTimeout, cancel)
+			return
+		}
+		cancel()
+	}()
 	for pending > 0 {
 		select {
 		case last = <-answers:
--- a/internal/request/filter/quarantine_test.go
+++ b/internal/request/filter/quarantine_test.go
@@ -47,6 +47,15 @@
 	return c
 }
 
+// mayCall reports whether a call may be sent to an upstream that is none of the others.
+func (c *callers) mayCall(others ...string) bool {
+	u, err := c.dir.PickService(c.pool.Name, others)
+	if err == nil {
+		c.dir.ReleaseService(u.Id)
+	}
+	return err == nil
+}
+
 // startServices starts services that end on harmful requests, and returns the number of those that have.
 func (c *callers) startServices(t *testing.T, n int, harmful func(*http.Request) bool) *atomic.Int64 {
 	t.Helper()
--- a/internal/request/filter/ratelimit_test.go
+++ b/internal/request/filter/ratelimit_test.go
@@ -54,6 +54,10 @@
 // calls away with a time for which it wants none.
 func TestServiceThatWantsNoMoreCalls(t *testing.T) {
 	answers := map[string]func(w http.ResponseWriter){
+		"leaves, slowly": func(w http.ResponseWriter) {
+			time.Sleep(20 * time.Millisecond)
+			w.Header().Set(filter.LeavingHeader, filter.LeavingValue)
+		},
 		"leaves": func(w http.ResponseWriter) { w.Header().Set(filter.LeavingHeader, filter.LeavingValue) },
 		"asks for time": func(w http.ResponseWriter) {
 			w.Header().Set("Retry-After", "30")
@@ -77,6 +81,9 @@
 			}
 			for i := range 40 {
 				c.serve(t, i, nil, "")
+				for end := time.Now().Add(5 * time.Second); unwilling.Load() > 0 && c.mayCall("s1"); time.Sleep(time.Millisecond) {
+					assert.Assert(t, time.Now().Before(end), "%s: its answer was not read", name)
+				}
 			}
 			assert.Equal(t, unwilling.Load(), int64(1), name)
 			assert.Assert(t, other.Load() >= 39, name)
