Use no report of another process of an engine

An engine that starts again under its id reports before its new process has announced itself. Its report paced, placed and restored the earlier process: the leader recorded layers for it and sent orders with the new process's count, and a VM that restarted gave it the layers of the new one. A report without a pace ended what was known of a slow engine, and a stored engine could come back with more layers than the model has.

placer.Report carries the start of the process; the monitor, the placer and the restored list use a report only of the process that was announced. A report without a pace leaves the earlier one. TestReportOfAnotherProcess (in monitor and placer), TestReportWithoutPace and TestRestoreChecksReports fail without the change and pass with it.

--- a/internal/node/monitor/monitor.go
+++ b/internal/node/monitor/monitor.go
@@ -33,6 +33,7 @@
 	// RecordLeaving records that the process of an upstream that started at a given time leaves.
 	RecordLeaving(id string, startedMs uint64)
 	ByAddress(address string) (id string, ok bool)
+	Upstream(id string) (*registry.Upstream, bool)
 	MarkDead(id string, own bool)
 }
 
@@ -73,9 +74,15 @@
 		m.Log.Logger().Debug("engine sent no report", "id", u.Id, "address", u.Address, "error", err)
 		return
 	}
-	pace := max(1, r.Pace)
-	m.Catalog.RecordPace(u.Id, pace)
-	m.logPace(u.Id, pace)
+	if current, live := m.Catalog.Upstream(u.Id); !live || current.StartedMs != u.StartedMs || !r.IsOf(u.StartedMs) {
+		m.Log.Logger().Debug("another process of the engine reports", "id", u.Id, "address", u.Address, "startedMs", r.StartedMs)
+		return
+	}
+	if r.Pace > 0 {
+		pace := max(1, r.Pace)
+		m.Catalog.RecordPace(u.Id, pace)
+		m.logPace(u.Id, pace)
+	}
 	if r.Leaving {
 		m.Catalog.RecordLeaving(u.Id, u.StartedMs)
 	}
--- a/internal/node/monitor/monitor_test.go
+++ b/internal/node/monitor/monitor_test.go
@@ -31,6 +31,7 @@
 	stalled map[string][]string
 	silent  map[string]bool
 	leaving map[string]bool
+	started map[string]uint64
 }
 
 const errSilent = fault.Sentinel("monitor_test: no answer")
@@ -39,7 +40,7 @@
 	if e.silent[id] {
 		return placer.Report{}, errSilent
 	}
-	return placer.Report{Pace: e.pace[id], Leaving: e.leaving[id], Stalled: e.stalled[id]}, nil
+	return placer.Report{Pace: e.pace[id], Leaving: e.leaving[id], Stalled: e.stalled[id], StartedMs: e.started[id]}, nil
 }
 
 type vm struct {
@@ -142,3 +143,30 @@
 	assert.Assert(t, vms[0].DeadFor("b") > 0)
 	assert.Equal(t, vms[0].DeadFor("a"), clock.Duration(0))
 }
+
+// TestReportOfAnotherProcess guards against findings on an engine from the report of a process that has not
+// announced itself.
+func TestReportOfAnotherProcess(t *testing.T) {
+	api := &engines{pace: map[string]float64{}, started: map[string]uint64{"a": 2, "b": 2}}
+	clk := clock.NewManual(1_000_000)
+	vms := newVMs(t, clk, api)
+	usual := first(t, vms[0])
+	api.pace[usual], api.stalled = 12, map[string][]string{"a": {"b:1"}, "b": {"a:1"}}
+	vms[0].monitor.Poll(t.Context())
+	clk.Advance(100)
+	assert.Equal(t, vms[0].DeadFor("a")+vms[0].DeadFor("b"), clock.Duration(0))
+	assert.Equal(t, first(t, vms[0]), usual)
+}
+
+// TestReportWithoutPace guards against a slow engine that counts as usual because a report does not say how
+// slow it is.
+func TestReportWithoutPace(t *testing.T) {
+	api := &engines{pace: map[string]float64{}}
+	vms := newVMs(t, clock.NewManual(1_000_000), api)
+	usual := first(t, vms[0])
+	api.pace[usual] = 12
+	vms[0].monitor.Poll(t.Context())
+	delete(api.pace, usual)
+	vms[0].monitor.Poll(t.Context())
+	assert.Assert(t, first(t, vms[0]) != usual)
+}
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -30,6 +30,8 @@
 	ErrRefused = fault.Sentinel("placer: the engine refused the order")
 	// ErrUnanswered reports an order that got no reply. The engine may still execute it.
 	ErrUnanswered = fault.Sentinel("placer: no reply to the order")
+	// ErrOtherProcess reports an engine that has started again since it announced itself.
+	ErrOtherProcess = fault.Sentinel("placer: another process of the engine reports")
 )
 
 // Intervals, delays and timeouts of the controller.
@@ -93,6 +95,14 @@
 	From, To int      // Layers that the engine holds.
 	Pace     float64  // How many times longer than usual its work takes; 0 if it did not say.
 	Stalled  []string // Addresses of engines that its requests wait for without progress.
+	// StartedMs is when the process that reports started, as a Unix time in ms; 0 if it did not say.
+	StartedMs uint64
+}
+
+// IsOf reports whether the report may be of the process that started at a given time, where 0 is unknown.
+// Another process may have started under the same id.
+func (r Report) IsOf(startedMs uint64) bool {
+	return r.StartedMs == startedMs || r.StartedMs == 0 || startedMs == 0
 }
 
 // API sends calls to engines.
@@ -249,7 +259,7 @@
 			st.checkAt = 0
 			continue
 		}
-		if !r.Busy && r.From == st.from && r.To == st.to {
+		if !r.Busy && r.IsOf(u.StartedMs) && r.From == st.from && r.To == st.to {
 			st.checkAt = 0
 			c.Catalog.RecordPlacement(u, r.From, r.To, true)
 		}
@@ -304,6 +314,9 @@
 	defer cancel()
 	if !st.acceptedKnown {
 		r, err := c.API.Report(ctx, u.Id, u.Address)
+		if err == nil && !r.IsOf(u.StartedMs) {
+			err = ErrOtherProcess
+		}
 		if err != nil {
 			c.Log.Decision("engineReportFailed", u.Id, "address", u.Address, "error", err.Error())
 			st.blockedUntil = c.Clock.Now().Add(unansweredDelay)
--- a/internal/node/placer/placer_test.go
+++ b/internal/node/placer/placer_test.go
@@ -29,7 +29,8 @@
 	pending  []placer.Order
 	cuts     []bool // Of the orders, in their order.
 	orders   int
-	maxSpan  int // Largest number of layers in one order.
+	maxSpan  int    // Largest number of layers in one order.
+	started  uint64 // Start time in the reports.
 }
 
 // Place implements placer.API.
@@ -66,7 +67,7 @@
 func (e *fakeEngines) Report(_ context.Context, id, _ string) (placer.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return placer.Report{Taken: e.taken[id], From: e.held[id][0], To: e.held[id][1]}, nil
+	return placer.Report{Taken: e.taken[id], From: e.held[id][0], To: e.held[id][1], StartedMs: e.started}, nil
 }
 
 // Repath implements placer.API.
@@ -273,3 +274,16 @@
 	}
 	t.Fatal("condition not met in time")
 }
+
+// TestReportOfAnotherProcess guards against layers that an engine is taken to hold because a process that has
+// not announced itself holds as many.
+func TestReportOfAnotherProcess(t *testing.T) {
+	t.Parallel()
+	e := &fakeEngines{started: 2}
+	c := startController(t, true, e)
+	eventually(t, e.allPlaced)
+	time.Sleep(time.Second)
+	for _, u := range c.Members("crew") {
+		assert.Equal(t, u.LayerTo, u.LayerFrom, u.Id)
+	}
+}
--- a/internal/node/rejoin/rejoin.go
+++ b/internal/node/rejoin/rejoin.go
@@ -302,7 +302,8 @@
 			return false
 		}
 		a.LayerFrom, a.LayerTo = uint32(r.From), uint32(r.To)
-		if registry.Validate(a) != nil {
+		if !r.IsOf(a.StartedMs) || registry.Validate(a) != nil || r.To > s.modelLayers(a.Name) {
+			s.Log.Decision("upstreamNotRecalled", a.Id, "address", a.Address, "startedMs", r.StartedMs, "from", r.From, "to", r.To)
 			return false
 		}
 	}
@@ -310,3 +311,15 @@
 	s.Catalog.Restore(a)
 	return true
 }
+
+// modelLayers returns the number of layers of the model that the engines of a service run.
+func (s *Store) modelLayers(service string) int {
+	if index := s.Catalog.Tables(); index != nil {
+		for _, p := range index.Document().Pools {
+			if p.Service == service && p.Engine != nil {
+				return p.Engine.Layers
+			}
+		}
+	}
+	return math.MaxInt
+}
--- a/internal/node/rejoin/rejoin_test.go
+++ b/internal/node/rejoin/rejoin_test.go
@@ -39,9 +39,10 @@
 // fakeUpstreams answers calls to the addresses of upstreams.
 type fakeUpstreams struct {
 	mu        sync.Mutex
-	ids       map[string]string // Id of the upstream that runs at each address.
-	unhealthy map[string]bool   // By id.
-	from      int               // First layer that engines hold.
+	ids       map[string]string        // Id of the upstream that runs at each address.
+	unhealthy map[string]bool          // By id.
+	from      int                      // First layer that engines hold.
+	reports   map[string]placer.Report // By id, if not the usual one.
 }
 
 func (u *fakeUpstreams) Healthy(_ context.Context, id, address, path string) error {
@@ -53,7 +54,10 @@
 	return nil
 }
 
-func (u *fakeUpstreams) Report(context.Context, string, string) (placer.Report, error) {
+func (u *fakeUpstreams) Report(_ context.Context, id, _ string) (placer.Report, error) {
+	if r, ok := u.reports[id]; ok {
+		return r, nil
+	}
 	return placer.Report{From: u.from, To: 8}, nil
 }
 
@@ -224,3 +228,24 @@
 		assert.NilError(t, s.Save())
 	})
 }
+
+// TestRestoreChecksReports guards against engines that are restored with the layers of a process that started
+// since, or with layers that the model does not have. They must not cost the others.
+func TestRestoreChecksReports(t *testing.T) {
+	disk, before := folder(t), newCatalog(t)
+	api := &fakeUpstreams{ids: map[string]string{}, reports: map[string]placer.Report{
+		"a": {From: 0, To: 4, StartedMs: 2}, "b": {From: 4, To: 9, StartedMs: 1}, "c": {From: 4, To: 8, StartedMs: 1},
+	}}
+	for id := range api.reports {
+		announce(before, id, id+":1", 10, false)
+		api.ids[id+":1"] = id
+	}
+	assert.NilError(t, (&rejoin.Store{Disk: disk, Catalog: before, API: api}).Save())
+	after := newCatalog(t)
+	doc := &tables.Document{Pools: []tables.Pool{{Name: "crew", Service: "crew", HealthPath: "/health", Engine: &tables.Engine{Layers: 8}}}}
+	after.SetTables(doc)
+	restore(t, disk, after, api)
+	members := after.Members("crew")
+	assert.Equal(t, len(members), 1)
+	assert.Equal(t, members[0].Id, "c")
+}
