Let an engine have only other engines of its service found dead

An entry of stalledServers marked whatever upstream is at its address as dead: the reporting engine itself, or an upstream of another service that took over the address. Requests then avoided a sound upstream on all VMs.

The monitor now drops entries that name the reporting engine or an upstream of another service; the other entries hold. TestStalledEntriesOfOthers fails without the change (dead after 100 ms) and passes with it.

--- a/internal/node/monitor/monitor.go
+++ b/internal/node/monitor/monitor.go
@@ -87,13 +87,20 @@
 		m.Catalog.RecordLeaving(u.Id, u.StartedMs)
 	}
 	for _, address := range r.Stalled {
-		if id, ok := m.Catalog.ByAddress(address); ok {
+		if id, ok := m.Catalog.ByAddress(address); ok && m.mayWaitFor(u, id) {
 			m.Log.Decision("upstreamSuspected", id, "reason", "another engine waits for it", "address", address, "reportedBy", u.Id, "known", true)
 			m.Catalog.MarkDead(id, true)
 		}
 	}
 }
 
+// mayWaitFor reports whether requests on an engine may wait for an upstream: for another engine of the
+// same service.
+func (m *Monitor) mayWaitFor(u *registry.Upstream, id string) bool {
+	other, live := m.Catalog.Upstream(id)
+	return live && id != u.Id && other.Name == u.Name
+}
+
 // logPace logs an engine's pace if it changed much.
 func (m *Monitor) logPace(id string, pace float64) {
 	m.mu.Lock()
--- a/internal/node/monitor/monitor_test.go
+++ b/internal/node/monitor/monitor_test.go
@@ -170,3 +170,16 @@
 	vms[0].monitor.Poll(t.Context())
 	assert.Assert(t, first(t, vms[0]) != usual)
 }
+
+// TestStalledEntriesOfOthers guards against an engine that has itself or upstreams of other services found
+// dead. The other entries must hold.
+func TestStalledEntriesOfOthers(t *testing.T) {
+	clk := clock.NewManual(1_000_000)
+	vms := newVMs(t, clk, &engines{stalled: map[string][]string{"a": {"a:1", "c:1", "none:1", "b:1"}}})
+	vms[0].Announce(&upstreampb.Announcement{Id: "c", Name: "desk", Address: "c:1", DataCentre: "x", StartedMs: 1, Sequence: 1, LeaseMs: 60_000})
+	vms[0].monitor.Poll(t.Context())
+	clk.Advance(100)
+	assert.Equal(t, vms[0].DeadFor("a"), clock.Duration(0))
+	assert.Equal(t, vms[0].DeadFor("c"), clock.Duration(0))
+	assert.Assert(t, vms[0].DeadFor("b") > 0)
+}
