Give requests without a key to no tenant

A tenant whose list of keys holds an empty one, which is also how a null entry is read, owned every request that carries no key: it was sent to upstreams under the tenant's name and priority instead of getting a 401.

The index leaves empty keys out, also those of tables that are stored; the other keys of the list hold. TestEmptyKeyIsNobodys fails without the change and passes with it.

--- a/internal/routing/lookup/lookup.go
+++ b/internal/routing/lookup/lookup.go
@@ -41,7 +41,9 @@
 	}
 	for i := range doc.Organisations {
 		for _, k := range doc.Organisations[i].Keys {
-			x.keys[k] = &doc.Organisations[i]
+			if k != "" { // Requests without a key are nobody's.
+				x.keys[k] = &doc.Organisations[i]
+			}
 		}
 	}
 	return x
--- a/internal/routing/lookup/lookup_test.go
+++ b/internal/routing/lookup/lookup_test.go
@@ -44,6 +44,18 @@
 	assert.Assert(t, !ok)
 }
 
+// TestEmptyKeyIsNobodys guards against requests without a key that count as those of an organisation with
+// an empty key in its list.
+func TestEmptyKeyIsNobodys(t *testing.T) {
+	d := doc()
+	d.Organisations[0].Keys = []string{"", "k1"}
+	x := lookup.New(1, d)
+	_, ok := x.Organisation("")
+	assert.Assert(t, !ok)
+	_, ok = x.Organisation("k1")
+	assert.Assert(t, ok)
+}
+
 func ExamplePickPool() {
 	r := &tables.Route{Split: []tables.Share{{Pool: "old", Weight: 90}, {Pool: "new", Weight: 10}}}
 	fmt.Println(lookup.PickPool(r, 0.1), lookup.PickPool(r, 0.95))
