Refuse manifests that the users' page calls invalid

Four manifests that PROTOCOL.md calls invalid got a 200: a route with a split that also names an unknown service, two routes with the same prefix on one host in two cases (requests got the later one only), two tenants of the same name that share a key, and a prefix without a last slash, which no request matches.

A key that one tenant lists twice is still accepted.

--- a/internal/control/tables/forward.go
+++ b/internal/control/tables/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 )
@@ -125,6 +126,9 @@
 	if len(r.Split) > 0 && total == 0 {
 		v.add(key+".split", "the weights add up to 0")
 	}
+	if !strings.HasSuffix(r.Match.PathPrefix, "/") {
+		v.add(key+".match.pathPrefix", "must end with /")
+	}
 	if r.Attempts < 0 {
 		v.add(key+".attempts", "must not be negative")
 	}
@@ -135,17 +139,17 @@
 
 // organisations validates the organisations. Two of them must not share a key.
 func (v *validator) organisations() {
-	owner := map[string]string{}
+	owner := map[string]int{}
 	for i, o := range v.doc.Organisations {
 		key := fmt.Sprintf("organisations[%d]", i)
 		if o.Name == "" {
 			v.add(key+".name", "an organisation needs a name")
 		}
 		for _, k := range o.Keys {
-			if other, taken := owner[k]; taken && other != o.Name {
-				v.add(key+".keys", "shares a key with organisation %q", other)
+			if other, taken := owner[k]; taken && other != i {
+				v.add(key+".keys", "shares a key with organisation %q", v.doc.Organisations[other].Name)
 			}
-			owner[k] = o.Name
+			owner[k] = i
 		}
 	}
 }
--- a/internal/control/tables/validate.go
+++ b/internal/control/tables/validate.go
@@ -97,7 +97,7 @@
 		v.forwarded(key, r)
 	}
 	pool, ok := v.doc.Pool(r.Pool)
-	if !ok && len(r.Split) == 0 {
+	if !ok && (r.Pool != "" || len(r.Split) == 0) {
 		v.add(key+".pool", "there is no pool named %q", r.Pool)
 	}
 	if (r.Match.Model == "") == (r.Match.PathPrefix == "") {
@@ -123,11 +123,11 @@
 // reachable reports routes that an earlier route shadows, and routes with reserved
 // paths.
 func (v *validator) reachable() {
-	seen := map[string]string{}
+	seen := map[[2]string]string{}
 	for i, r := range v.doc.Routes {
 		key := fmt.Sprintf("routes[%d].match", i)
 		if r.IsForwarded() {
-			place := r.Match.Host + r.Match.PathPrefix
+			place := [2]string{strings.ToLower(r.Match.Host), r.Match.PathPrefix}
 			if earlier, taken := seen[place]; taken {
 				v.add(key, "unreachable: route %q has the same host and prefix", earlier)
 			}
