Do not take settings from a file that is being written

A SIGHUP that met a settings file cut short replaced the seeds by the ones read so far, or by none, and the file was not read again: a VM that later lost the others did not find them. A start that met such a file ended the process at once, and one seed that could not be read was used as an address.

A reload now needs a complete file (addresses, ports, seeds, heartbeat, grace, zone), of this VM, or the present settings stay in force; the file is read again each second until it is good, and once more after a change.

--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -112,13 +112,15 @@
 	servers    []*http.Server
 	started    uint64
 
-	draining atomic.Bool
-	found    chan struct{} // Signalled when other VMs must be told of findings at once; capacity 1.
-	vmCount  atomic.Int64
-	mu       sync.Mutex
-	ready    bool // Readiness in the last reply to the load balancer.
-	tasks    sync.WaitGroup
-	cancel   context.CancelFunc
+	draining      atomic.Bool
+	reloadAgain   atomic.Bool   // The settings file may not have been written in full when it was read.
+	reloadFailing atomic.Bool   // The settings file could not be used when it was last read.
+	found         chan struct{} // Signalled when other VMs must be told of findings at once; capacity 1.
+	vmCount       atomic.Int64
+	mu            sync.Mutex
+	ready         bool // Readiness in the last reply to the load balancer.
+	tasks         sync.WaitGroup
+	cancel        context.CancelFunc
 }
 
 // New creates a Router. Start runs it.
@@ -204,7 +206,7 @@
 	r.task("lease timer", func() { delay.Every(ctx, leaseTickInterval, r.catalog.Tick) })
 	r.task("connection sweep", func() { delay.Every(ctx, sweepInterval, r.pool.Sweep) })
 	if r.cfg.Reload != nil {
-		r.task("seeds", func() { delay.Every(ctx, aloneInterval, r.reloadWhileAlone) })
+		r.task("seeds", func() { delay.Every(ctx, aloneInterval, r.reloadIfNeeded) })
 	}
 	r.task("panic count", func() {
 		delay.Every(ctx, sweepInterval, func() { r.tel.Metrics.Gauge("contained_panics").Update(float64(crash.Contained())) })
