Believe that a request did not run only with the statuses that mean it

The header now counts with 400, 429 and 503, and 421 needs none, as on the users' page. TestNotRunOfOtherStatus fails without the change (2 sends for 1 with a 404) and passes with it.

--- /dev/null
+++ b/internal/request/forward/answers_test.go
@@ -0,0 +1,27 @@
+package forward_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestNotRunOfOtherStatus guards against calls that run twice because an upstream that may have run them says
+// that it did not, with a status that cannot mean that.
+func TestNotRunOfOtherStatus(t *testing.T) {
+	for status, runs := range map[int]int{200: 1, 302: 1, 404: 1, 500: 1, 502: 1, 504: 1, 421: 2, 429: 2, 503: 2} {
+		f := newFixture(t)
+		var second *upstream
+		first := f.start(t, "u1", "desk", 0, 0, func(_ *upstream, c net.Conn, r *http.Request) {
+			if second == nil {
+				second = f.start(t, "u2", "desk", 0, 0, serveOK)
+			}
+			respond(c, r, status, integrity+"Jasminecove-Not-Run: 1\r\n", "")
+		})
+		_, _, err := f.do(t, "POST", "/book/1", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, first.runs()+second.runs(), runs, "status %d", status)
+	}
+}
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -174,9 +174,16 @@
 	return out
 }
 
-// notRun reports whether a response states that the upstream did not run the request.
+// notRun reports whether a response states that the upstream did not run the request. With any other status
+// the upstream may have run it, whatever the header says.
 func (d *Dialect) notRun(status int, h http.Header) bool {
-	return status == http.StatusMisdirectedRequest || h.Get(d.NotRun) != ""
+	switch status {
+	case http.StatusMisdirectedRequest:
+		return true
+	case http.StatusBadRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return h.Get(d.NotRun) != ""
+	}
+	return false
 }
 
 // recordAttempt records the result of an attempt and updates the health of its upstream.
