Blame only engines of a request's own path for its end

At-Server was believed for any address: an engine that named an upstream off the request's path, of another service or none, had that one checked and avoided, and got the same request again until the attempts were used up. The caller got a 503 although another engine was free.

A name that is not on the path of the run now counts as none, so that the engine that responded is left out. TestFaultNamedOffThePath fails without the change (5 runs at the same engine, then a 503) and passes with it.

--- a/internal/request/forward/answers_test.go
+++ b/internal/request/forward/answers_test.go
@@ -25,3 +25,19 @@
 		assert.Equal(t, first.runs()+second.runs(), runs, "status %d", status)
 	}
 }
+
+// TestFaultNamedOffThePath guards against an engine that has others checked and avoided in its place: it names
+// an upstream that its request does not depend on.
+func TestFaultNamedOffThePath(t *testing.T) {
+	f := newFixture(t)
+	f.suspected = func(address, reason, _ string) { t.Errorf("%s is suspected: %s", address, reason) }
+	other := f.start(t, "u1", "desk", 0, 0, serveOK)
+	e1 := f.start(t, "e1", "crew", 0, 8, func(_ *upstream, c net.Conn, r *http.Request) {
+		f.start(t, "e2", "crew", 0, 8, events(3, 0))
+		respond(c, r, 503, "Jasminecove-Not-Run: 1\r\nJasminecove-Culprit: "+other.address+"\r\n", "")
+	})
+	_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, wantEvents(1, 3))
+	assert.Equal(t, e1.runs(), 1)
+}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -342,7 +343,7 @@
 func (s *stream) penalize(t *target, end runResult) {
 	c := s.h.cfg.Catalog
 	if end.faultAddress != "" {
-		if id, ok := c.ByAddress(end.faultAddress); ok {
+		if id, ok := c.ByAddress(end.faultAddress); ok && slices.Contains(t.engineIDs(), id) {
 			s.exclude[id] = true
 			pause := noCapacityDelay
 			if end.status == http.StatusMisdirectedRequest {
