Read no value off the first of several headers of an upstream

Server-Limit, Server-Leaving and Retry-After were read with the first of several headers: "0.1" before "900" shut an upstream off for seconds, and requests got a 503 that the upstream did not ask for.

Several headers are now read together, which is none of the values that an upstream may send: what was known before holds, and the text is logged. TestContradictingHeaders also covers dates, NaN, negative and mistyped values; it fails without the change and passes with it.

--- a/internal/request/forward/answers_test.go
+++ b/internal/request/forward/answers_test.go
@@ -1,8 +1,10 @@
 package forward_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -41,3 +43,30 @@
 	assert.Equal(t, body, wantEvents(1, 3))
 	assert.Equal(t, e1.runs(), 1)
 }
+
+// TestContradictingHeaders guards against a limit, a pause or a departure that is read off the first of several
+// headers that contradict each other, or off a value that is none.
+func TestContradictingHeaders(t *testing.T) {
+	for _, header := range []string{
+		"Jasminecove-Rate-Limit: 0.1\r\nJasminecove-Rate-Limit: 900\r\n", "Jasminecove-Rate-Limit: 0.1, 900\r\n", "Jasminecove-Rate-Limit: -1\r\n", "Jasminecove-Rate-Limit: NaN\r\n",
+		"Retry-After: 60\r\nRetry-After: 0\r\n", "Retry-After: Fri, 31 Dec 2027 23:59:59 GMT\r\n", "Retry-After: -5\r\n", "Retry-After: NaN\r\n", "Retry-After: 60s\r\n",
+		"Jasminecove-Leaving: 1\r\nJasminecove-Leaving: 0\r\n", "Jasminecove-Leaving: true\r\n",
+	} {
+		f := newFixture(t)
+		runs := 0
+		f.start(t, "u1", "desk", 0, 0, func(u *upstream, c net.Conn, r *http.Request) {
+			if runs++; runs == 1 {
+				respond(c, r, 503, integrity+header, "")
+				return
+			}
+			serveOK(u, c, r)
+		})
+		var statuses []int
+		for range 2 {
+			resp, _, err := f.do(t, "POST", "/book/1", "x")
+			assert.NilError(t, err)
+			statuses = append(statuses, resp.StatusCode)
+		}
+		assert.Assert(t, slices.Equal(statuses, []int{503, 200}), fmt.Sprint(header, statuses))
+	}
+}
--- a/internal/request/forward/ratelimit.go
+++ b/internal/request/forward/ratelimit.go
@@ -13,7 +13,7 @@
 // recordRateLimit records the rate limit that an upstream names in the response to a request, or that it
 // names none. Only a success says that a limit has ended.
 func (h *Handler) recordRateLimit(s send, requestID string, a *call.Response) {
-	text := a.Header.Get(h.cfg.Dialect.RateLimit)
+	text := allValues(a.Header, h.cfg.Dialect.RateLimit)
 	rate, named := ratecap.ParseRate(text)
 	var change ratecap.Change
 	switch {
--- a/internal/request/forward/selfreport.go
+++ b/internal/request/forward/selfreport.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
@@ -32,14 +33,18 @@
 		return // Another process may have responded.
 	}
 	h.recordRateLimit(s, requestID, a)
-	if text := a.Header.Get(h.cfg.Dialect.Leaving); text != "" {
+	if text := allValues(a.Header, h.cfg.Dialect.Leaving); text != "" {
 		h.recordLeaving(s, requestID, text)
 	}
-	if text := a.Header.Get(retryAfter); text != "" && a.Status == http.StatusServiceUnavailable {
+	if text := allValues(a.Header, retryAfter); text != "" && a.Status == http.StatusServiceUnavailable {
 		h.recordPause(s, requestID, text)
 	}
 }
 
+// allValues returns the values of a header, separated by commas. Several values are thus none of those that
+// an upstream may send.
+func allValues(h http.Header, name string) string { return strings.Join(h.Values(name), ",") }
+
 // recordLeaving records that an upstream says that it leaves, or that it does not.
 func (h *Handler) recordLeaving(s send, requestID, text string) {
 	if u, live := h.cfg.Catalog.Upstream(s.upstream); live && u.Leaving || text == notLeavingValue {
