Choose the path with the fewest hops when the cheapest one has too many

Callers got "some layers have no usable engine" although a complete path of four engines existed: the search keeps one path for each boundary and data centre, the cheapest, and dropped it at the end when it had more than 32 hops. Forty fast engines of two layers each are enough, or status reports that claim such ranges.

Change: if the cheapest path has too many hops, the search runs once more and prefers fewer hops to a lower cost.

Evidence: TestChooseWithinMaxHops fails without the change (ErrMissingLayers) and passes with it. BenchmarkChoose with 216 engines, four runs each in turn on a busy machine: 126 to 341 us before, 179 to 307 us after; with the own data centre full 169 to 468 us before, 181 to 394 us after.

--- a/internal/routing/chain/chain.go
+++ b/internal/routing/chain/chain.go
@@ -166,6 +166,7 @@
 	r       Request
 	engines []Engine
 	centres []string // Data centres; the request's own is first.
+	fewest  bool     // Paths with fewer hops are preferred to cheaper ones.
 	// holders lists the indices of the usable engines by data centre and layer: those that hold
 	// layer l in data centre c are holders[starts[k]:starts[k+1]] for k = c*Layers+l.
 	holders, starts []int
@@ -218,10 +219,22 @@
 	}
 }
 
-// best finds the cheapest path by dynamic programming over layer boundaries and data
-// centres. If bounded is set, it skips engines without enough capacity. If crossing is not set,
-// paths stay within one data centre.
+// best finds the cheapest path. If bounded is set, it skips engines without enough capacity. If
+// crossing is not set, paths stay within one data centre. If the cheapest path has too many hops,
+// best finds the one with the fewest.
 func (s *search) best(bounded, crossing bool) (Path, bool) {
+	s.fewest = false
+	p, ok := s.solve(bounded, crossing)
+	if ok && len(p.Hops) > MaxHops {
+		s.fewest = true
+		p, ok = s.solve(bounded, crossing)
+	}
+	return p, ok && len(p.Hops) <= MaxHops
+}
+
+// solve finds the best path of any number of hops by dynamic programming over layer boundaries and
+// data centres.
+func (s *search) solve(bounded, crossing bool) (Path, bool) {
 	n := len(s.centres)
 	table := make([]partialPath, (s.m.Layers+1)*n)
 	known := make([]bool, len(table))
@@ -237,7 +250,7 @@
 	end := -1
 	for c := range n {
 		i := s.m.Layers*n + c
-		if known[i] && table[i].hops <= MaxHops && (end < 0 || table[i].cost < table[end].cost) {
+		if known[i] && (end < 0 || s.isBetter(&table[i], &table[end])) {
 			end = i
 		}
 	}
@@ -289,12 +302,20 @@
 			next.cost += remoteEntryCostMs
 		}
 		j := e.To*n + to
-		if !known[j] || next.cost < table[j].cost {
+		if !known[j] || s.isBetter(&next, &table[j]) {
 			table[j], known[j] = next, true
 		}
 	}
 }
 
+// isBetter reports whether a partial path is preferable to another one to the same boundary.
+func (s *search) isBetter(a, b *partialPath) bool {
+	if s.fewest && a.hops != b.hops {
+		return a.hops < b.hops
+	}
+	return a.cost < b.cost
+}
+
 // linkWait returns the queueing delay of the link between two data centres, given by
 // index.
 func (s *search) linkWait(a, b int) float64 {
--- a/internal/routing/chain/chain_test.go
+++ b/internal/routing/chain/chain_test.go
@@ -56,6 +56,25 @@
 	assert.Equal(t, err, chain.ErrMissingLayers)
 }
 
+// TestChooseWithinMaxHops guards against refused requests because the cheapest path has too many hops, while
+// slower engines hold larger ranges.
+func TestChooseWithinMaxHops(t *testing.T) {
+	var engines []chain.Engine
+	for from := 0; from < 80; from += 2 {
+		e := engine(fmt.Sprint("small", from), "a", from, from+2)
+		e.StepFactor, e.ReadFactor = 1, 1
+		engines = append(engines, e)
+	}
+	_, err := chain.Choose(model, engines, typicalRequest)
+	assert.Equal(t, err, chain.ErrMissingLayers)
+	for from := 0; from < 80; from += 20 {
+		engines = append(engines, engine(fmt.Sprint("large", from), "a", from, from+20))
+	}
+	p, err := chain.Choose(model, engines, typicalRequest)
+	assert.NilError(t, err)
+	assert.Assert(t, p.Complete(80))
+}
+
 // TestChooseRandomRanges checks on random layer ranges that Choose finds a path
 // exactly when the ranges cover all layers, and that the path is complete.
 func TestChooseRandomRanges(t *testing.T) {
