Refuse tables with routes that no request can reach

The manifest's routes are found by host and path prefix up to a slash. A manifest with the prefix "/look" was acknowledged, and every request to it got 404; so did requests to a host that the manifest names with a port. Two routes with one prefix whose hosts differ only in capitals were accepted, and the later one got all requests.

Change: a forwarded route's prefix must end with a slash, as the users' page says of every prefix. Hosts are compared in lower case and without a port, in the checks as in the lookup.

--- a/internal/control/tables/forward.go
+++ b/internal/control/tables/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"strings"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 )
@@ -102,6 +104,14 @@
 // so if the route matches on a host.
 func (r Route) IsForwarded() bool { return r.Match.Host != "" }
 
+// HostKey returns a host in the form in which hosts are compared: in lower case and without a port.
+func HostKey(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // Shares returns the route's pools with their weights.
 func (r Route) Shares() []Share {
 	if len(r.Split) > 0 {
@@ -112,6 +122,9 @@
 
 // forwarded validates the fields that only forwarded routes have.
 func (v *validator) forwarded(key string, r Route) {
+	if r.Match.PathPrefix != "" && !strings.HasSuffix(r.Match.PathPrefix, "/") {
+		v.add(key+".match.pathPrefix", "must end with /")
+	}
 	total := 0
 	for i, s := range r.Split {
 		if _, ok := v.doc.Pool(s.Pool); !ok {
--- a/internal/control/tables/validate.go
+++ b/internal/control/tables/validate.go
@@ -123,15 +123,16 @@
 // reachable reports routes that an earlier route shadows, and routes with reserved
 // paths.
 func (v *validator) reachable() {
-	seen := map[string]string{}
+	type place struct{ host, prefix string }
+	seen := map[place]string{}
 	for i, r := range v.doc.Routes {
 		key := fmt.Sprintf("routes[%d].match", i)
 		if r.IsForwarded() {
-			place := r.Match.Host + r.Match.PathPrefix
-			if earlier, taken := seen[place]; taken {
+			at := place{HostKey(r.Match.Host), r.Match.PathPrefix}
+			if earlier, taken := seen[at]; taken {
 				v.add(key, "unreachable: route %q has the same host and prefix", earlier)
 			}
-			seen[place] = r.Name
+			seen[at] = r.Name
 			continue
 		}
 		if strings.HasPrefix(r.Match.PathPrefix, "/v1/chat/") || strings.HasPrefix(r.Match.PathPrefix, "/v1/completions") {
--- a/internal/routing/lookup/lookup.go
+++ b/internal/routing/lookup/lookup.go
@@ -3,7 +3,6 @@
 package lookup
 
 import (
-	"net"
 	"strings"
 
 	"github.com/jasminecove/jasminecove/internal/control/tables"
@@ -33,7 +32,7 @@
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
 		if r.IsForwarded() {
-			x.routes[routeKey{strings.ToLower(r.Match.Host), r.Match.PathPrefix}] = r
+			x.routes[routeKey{tables.HostKey(r.Match.Host), r.Match.PathPrefix}] = r
 		}
 	}
 	for i := range doc.Pools {
@@ -53,10 +52,7 @@
 // Route returns the route for a host whose path prefix is the longest that matches the
 // path. Prefixes end with a slash.
 func (x *Index) Route(host, path string) (*tables.Route, bool) {
-	host = strings.ToLower(host)
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
+	host = tables.HostKey(host)
 	for end := len(path); end > 0; {
 		at := strings.LastIndexByte(path[:end], '/')
 		if at < 0 {
--- a/internal/routing/lookup/lookup_test.go
+++ b/internal/routing/lookup/lookup_test.go
@@ -15,7 +15,7 @@
 		return tables.Route{Name: name, Match: tables.Match{Host: host, PathPrefix: prefix}, Pool: "desk", Deadline: 1000}
 	}
 	return &tables.Document{
-		Routes:        []tables.Route{route("root", "a.example", "/"), route("one", "a.example", "/x/"), route("two", "a.example", "/x/y/"), route("other", "b.example", "/x/")},
+		Routes:        []tables.Route{route("root", "a.example", "/"), route("one", "a.example", "/x/"), route("two", "a.example", "/x/y/"), route("other", "b.example", "/x/"), route("port", "D.example:80", "/")},
 		Pools:         []tables.Pool{{Name: "desk", Service: "desk"}},
 		Organisations: []tables.Organisation{{Name: "north", Keys: []string{"k1", "k2"}}},
 	}
@@ -26,6 +26,7 @@
 	for _, c := range []struct{ host, path, want string }{
 		{"a.example", "/x/y/z", "two"}, {"A.example:80", "/x/y/", "two"}, {"a.example", "/x/yz", "one"},
 		{"a.example", "/x", "root"}, {"b.example", "/x/y/z", "other"}, {"b.example", "/y/", ""}, {"c.example", "/x/", ""},
+		{"d.example", "/", "port"},
 	} {
 		r, ok := x.Route(c.host, c.path)
 		assert.Equal(t, ok, c.want != "", "%s%s", c.host, c.path)
