--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -302,12 +302,18 @@
 }
 
 // Announce adds an upstream's announcement to the catalog. That the upstream leaves is acknowledged only
-// once other VMs have recorded it. Announce fails on an isolated VM, which could not propagate it.
+// once other VMs have recorded it. Announce fails if the announcement names no upstream to use, and on an
+// isolated VM, which could not propagate it.
 func (r *Router) Announce(ctx context.Context, a *upstreampb.Announcement) error {
 	if err := r.isolated(); err != nil {
 		return err
 	}
+	if err := r.catalog.Verify(a); err != nil {
+		r.RecordForeignAnnouncement(a.Id, err)
+		return err
+	}
 	r.catalog.Announce(a)
+	r.recordIfOld(a)
 	if !a.Leaving {
 		return nil
 	}
@@ -392,6 +398,22 @@
 	r.quarantine.SetVMs(r.cfg.Settings.VM, live)
 }
 
+// recordIfOld counts and logs an announcement that did not replace what is known of its upstream, because
+// a later one, or the upstream's end, is known. One is late; a series says that the later one is not the
+// upstream's own.
+func (r *Router) recordIfOld(a *upstreampb.Announcement) {
+	known, live := r.catalog.Upstream(a.Id)
+	if live && known.StartedMs == a.StartedMs && known.Sequence <= a.Sequence {
+		return
+	}
+	r.tel.Metrics.Counter("old_announcements_total").Inc(1)
+	var startedMs, sequence uint64
+	if live {
+		startedMs, sequence = known.StartedMs, known.Sequence
+	}
+	r.log.Decision("oldAnnouncement", a.Id, "startedMs", a.StartedMs, "sequence", a.Sequence, "live", live, "knownStartedMs", startedMs, "knownSequence", sequence)
+}
+
 // RecordForeignAnnouncement counts and logs an announcement that does not identify a usable
 // upstream.
 func (r *Router) RecordForeignAnnouncement(id string, err error) {
