Read no value off the first of several headers of a service

Calls of the product's own form had the same fault as forwarded ones: a service that sent Retry-After "60" and "0" got no call for a minute.

Several headers are read together here too, so that none of them counts. TestContradictingHeadersOfService fails without the change (1 call for 2) and passes with it.

--- a/internal/request/filter/services.go
+++ b/internal/request/filter/services.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -137,10 +138,10 @@
 	startedMs := s.dir.CountSend(u.Id)
 	a := s.send(ctx, x, u, repeatable)
 	s.recordRateLimit(u.Id, x.ID, sentAt, a)
-	if a.header.Get(LeavingHeader) == LeavingValue {
+	if allValues(a.header, LeavingHeader) == LeavingValue {
 		s.dir.RecordLeaving(u.Id, startedMs)
 	}
-	if d, ok := ratecap.ParsePause(a.header.Get("Retry-After")); ok && a.status == http.StatusServiceUnavailable {
+	if d, ok := ratecap.ParsePause(allValues(a.header, "Retry-After")); ok && a.status == http.StatusServiceUnavailable {
 		s.dir.RecordPause(u.Id, startedMs, d)
 	}
 	s.dir.ReleaseService(u.Id)
@@ -151,10 +152,14 @@
 	return a
 }
 
+// allValues returns the values of a header, separated by commas. Several values are thus none of those that
+// a service may send.
+func allValues(h http.Header, name string) string { return strings.Join(h.Values(name), ",") }
+
 // recordRateLimit records the rate limit that a response to a call sent at a given time names, or that
 // it names none. Only a success says that a limit has ended.
 func (s *Services) recordRateLimit(upstream, requestID string, sentAt clock.Time, a attempt) {
-	text := a.header.Get(RateLimitHeader)
+	text := allValues(a.header, RateLimitHeader)
 	rate, named := ratecap.ParseRate(text)
 	var change ratecap.Change
 	switch {
--- a/internal/request/filter/services_test.go
+++ b/internal/request/filter/services_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/request/filter"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
@@ -28,3 +30,25 @@
 	c.dir.Announce(&upstreampb.Announcement{Id: "s0", Kind: "service", Name: "desk", Address: server.Listener.Addr().String(), LeaseMs: 60_000, Sequence: 1})
 	assert.Equal(t, c.serve(t, 0, nil, ""), refusal.UpstreamFailed)
 }
+
+// TestContradictingHeadersOfService guards against a limit, a pause or a departure that is read off the first of
+// several headers that contradict each other.
+func TestContradictingHeadersOfService(t *testing.T) {
+	for name, values := range map[string][]string{filter.RateLimitHeader: {"0.1", "900"}, filter.LeavingHeader: {filter.LeavingValue, "0"}, "Retry-After": {"60", "0"}} {
+		c := newCallers(t, tables.Pool{Name: "desk", Service: "desk"}, nil)
+		var calls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if calls.Add(1) == 1 {
+				w.Header()[name] = values
+				w.Header().Set(refusal.OutcomeHeader, string(refusal.NotRun))
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		t.Cleanup(server.Close)
+		c.dir.Announce(&upstreampb.Announcement{Id: "s0", Kind: "service", Name: "desk", Address: server.Listener.Addr().String(), LeaseMs: 60_000, Sequence: 1})
+		for i := range 2 {
+			c.serve(t, i, nil, "")
+		}
+		assert.Equal(t, calls.Load(), int64(2), name)
+	}
+}
