--- a/internal/node/rejoin/rejoin_test.go
+++ b/internal/node/rejoin/rejoin_test.go
@@ -249,3 +249,30 @@
 	assert.Equal(t, len(members), 1)
 	assert.Equal(t, members[0].Id, "c")
 }
+
+// seedFleet records the seeds that a store adds.
+type seedFleet struct{ seeds []string }
+
+func (f *seedFleet) Addresses() []string         { return nil }
+func (f *seedFleet) AddSeeds(addresses []string) { f.seeds = append(f.seeds, addresses...) }
+
+// TestWrongEntriesOfStoredList guards against a list of which nothing is restored because some entries are wrong.
+func TestWrongEntriesOfStoredList(t *testing.T) {
+	good, err := proto.Marshal(&upstreampb.Announcement{Id: "a", Kind: "service", Name: "crew", Address: "a:1", Sequence: 3, StartedMs: 1})
+	assert.NilError(t, err)
+	list := &fleetpb.KnownUpstreams{Vms: []string{"", "host:1", "127.0.0.1:1", "127.0.0.1:99999"}, Parts: []*fleetpb.PartRecord{{}, {Part: "p", BlockedMs: 1<<32 - 1}}}
+	for _, u := range [][]byte{nil, {0xff}, []byte("text"), good, good[:len(good)-1]} {
+		list.Upstreams = append(list.Upstreams, &fleetpb.KnownUpstream{Announcement: u, HealthPath: "/health"}, &fleetpb.KnownUpstream{Announcement: u, HealthPath: "\x00"})
+	}
+	data, err := proto.Marshal(list)
+	assert.NilError(t, err)
+	folder := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, "upstreams"), data, 0o600))
+	disk, err := journal.Folder(folder)
+	assert.NilError(t, err)
+	fleet, c := &seedFleet{}, newCatalog(t)
+	(&rejoin.Store{Disk: disk, Fleet: fleet}).RestoreVMs()
+	assert.DeepEqual(t, fleet.seeds, []string{"127.0.0.1:1"})
+	restore(t, disk, c, &fakeUpstreams{ids: map[string]string{"a:1": "a"}})
+	assert.Equal(t, len(c.Members("crew")), 1)
+}
--- a/internal/request/forward/answers_test.go
+++ b/internal/request/forward/answers_test.go
@@ -70,3 +70,22 @@
 		assert.Assert(t, slices.Equal(statuses, []int{503, 200}), fmt.Sprint(header, statuses))
 	}
 }
+
+// TestHeadersOfMisdirectedRequest guards against a limit, a pause or a departure that another process says of
+// itself at the address of an upstream.
+func TestHeadersOfMisdirectedRequest(t *testing.T) {
+	f := newFixture(t)
+	runs := 0
+	f.start(t, "u1", "desk", 0, 0, func(u *upstream, c net.Conn, r *http.Request) {
+		if runs++; runs == 1 {
+			respond(c, r, 421, "Jasminecove-Rate-Limit: 0\r\nRetry-After: 60\r\nJasminecove-Leaving: 1\r\n", "")
+			return
+		}
+		serveOK(u, c, r)
+	})
+	_, _, err := f.do(t, "POST", "/book/1", "x")
+	assert.NilError(t, err)
+	resp, body, err := f.do(t, "POST", "/book/1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -219,7 +219,8 @@
 	u := f.start(t, "u1", "desk", 0, 0, func(_ *upstream, c net.Conn, r *http.Request) {
 		respond(c, r, 418, integrity+"X-Own: a\r\nX-Own: b\r\n", "tea\x00pot")
 	})
-	resp, body, err := f.do(t, "PUT", "/book/a%2Fb//c?x=1&y=%20", "b\x01dy", "X-Mine", "v", "Jasminecove-Organisation", "forged", "Jasminecove-Upstream", "forged", "Jasminecove-Deadline-Ms", "500")
+	resp, body, err := f.do(t, "PUT", "/book/a%2Fb//c?x=1&y=%20", "b\x01dy", "X-Mine", "v", "Jasminecove-Organisation", "forged", "Jasminecove-Upstream", "forged", "Jasminecove-Path", "forged", "Jasminecove-Urgency", "forged",
+		"Jasminecove-Deadline-Ms", "500")
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 418)
 	assert.Equal(t, body, "tea\x00pot")
--- a/internal/request/forward/trouble_test.go
+++ b/internal/request/forward/trouble_test.go
@@ -179,7 +179,8 @@
 		assert.Equal(t, resp.StatusCode, http.StatusBadRequest, "%s: %s", header, body)
 		assert.Equal(t, f.catalog.Requests("e1"), 0)
 	}
-	for _, header := range [][]string{{"Jasminecove-Tokens", "many,few"}, {"Jasminecove-Tokens", ""}, {"Last-Event-Id", "x"}, {"Jasminecove-Tokens", "10,5"}} {
+	for _, header := range [][]string{{"Jasminecove-Tokens", "many,few"}, {"Jasminecove-Tokens", ""}, {"Last-Event-Id", "x"}, {"Jasminecove-Tokens", "10,5"},
+		{"Jasminecove-Deadline-Ms", "-5"}, {"Jasminecove-Deadline-Ms", "soon"}, {"Jasminecove-Deadline-Ms", last + "0"}, {"Jasminecove-Prompt-Parts", ",:,a1:-1,a1:x,:5,b2"}} {
 		resp, body, err := f.do(t, "POST", "/draft/1", "prompt", header...)
 		assert.NilError(t, err)
 		assert.Equal(t, resp.StatusCode, http.StatusOK, "%s: %s", header, body)
