Take no pace below the usual one from another VM

An engine's pace is 1 or more: how many times longer than usual its work takes. A VM's own findings are raised to 1, those that another VM reports were not: a pace of 1e-9 made the slowest engine look free, and every request went there.

Evidence: TestReportedPaceIsUsualAtLeast fails without the change (the slow engine is chosen) and passes with it. Found by reading for FuzzCall, whose checks do not see it.

--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -468,3 +468,20 @@
 	each := join(more)
 	assert.Assert(t, each < known*pointerBytes/10, "%d bytes for one upstream beside %d", each, known)
 }
+
+// TestReportedPaceIsUsualAtLeast guards against all requests at an engine that another VM reports as faster
+// than any.
+func TestReportedPaceIsUsualAtLeast(t *testing.T) {
+	pool := *enginePool
+	engine := *pool.Engine
+	engine.Kinds = []tables.Accelerator{{Name: "fast", MemoryMB: 1000, StepFactor: 1, ReadFactor: 1}, {Name: "slow", MemoryMB: 1000, StepFactor: 9, ReadFactor: 9}}
+	pool.Engine = &engine
+	c := newFleet(1).catalogs[0]
+	for _, kind := range []string{"fast", "slow"} {
+		c.Announce(&upstreampb.Announcement{Id: kind, Name: "crew", Address: kind + ":1", DataCentre: "x", Accelerator: kind, LayerTo: 8, Sequence: 1, LeaseMs: 60_000})
+	}
+	c.MergeOccupancy("b", &fleetpb.Occupancy{Boot: 1, Sequence: 1, Slow: []*fleetpb.Slow{{Upstream: "slow", Pace: 1e-9}}})
+	path, _, err := c.ChoosePath(&pool, chain.Request{Prompt: 10, Answer: 10, DataCentre: "x"})
+	assert.NilError(t, err)
+	assert.Equal(t, path.Hops[0].Engine, "fast")
+}
--- a/internal/routing/catalog/pace.go
+++ b/internal/routing/catalog/pace.go
@@ -49,7 +49,7 @@
 	received := c.clock.Now().Add(-clock.Duration(ageMs))
 	for _, s := range slow {
 		if at := received.Add(-clock.Duration(s.AgeMs)); at > c.paces[s.Upstream].at {
-			c.paces[s.Upstream] = pace{value: float64(s.Pace), at: at}
+			c.paces[s.Upstream] = pace{value: max(1, float64(s.Pace)), at: at}
 		}
 	}
 }
