Ignore members whose incarnation could not be raised to refute

A message that called this VM dead at incarnation 2^64-1 made its own wrap to 0, so that no VM that had received the message would ever take it for alive again. Members above 2^62 are now ignored; true ones are Unix times in ms.

Evidence: FuzzMessage now checks that the own incarnation never falls.

--- a/internal/fleet/gossip/detect.go
+++ b/internal/fleet/gossip/detect.go
@@ -70,8 +70,14 @@
 	c.store(now, next)
 }
 
+// maxIncarnation bounds the incarnations of VMs, so that a VM can always raise its own to refute.
+const maxIncarnation = 1 << 62
+
 // merge applies the state of a member received from another VM.
 func (c *Core) merge(now clock.Time, m *fleetpb.Member) {
+	if m.Incarnation > maxIncarnation {
+		return
+	}
 	if m.Vm == c.self.Vm {
 		c.refute(m)
 		return
--- a/internal/fleet/gossip/fuzz_test.go
+++ b/internal/fleet/gossip/fuzz_test.go
@@ -22,6 +22,7 @@
 		{Kind: fleetpb.GossipMessage_HEARTBEAT, From: "b", View: 7, Upstreams: 9, Stamp: 1<<64 - 1, Revision: 1<<64 - 1},
 		{Kind: fleetpb.GossipMessage_SYNC_REPLY, From: "", Digests: []*fleetpb.Digest{{Id: "u"}, {}}, Homes: []*fleetpb.HomeHash{{}}},
 		{From: "c", FromAddress: "c:1", Members: []*fleetpb.Member{{Vm: "c", State: 7, DataCentre: "y"}, {Vm: "b", State: fleetpb.Member_SUSPECT}, {State: -1}}},
+		{From: "c", Members: []*fleetpb.Member{{Vm: "a", State: fleetpb.Member_DEAD, Incarnation: 1<<64 - 1}}},
 		{From: "b", Members: []*fleetpb.Member{{Vm: "b", State: fleetpb.Member_LEFT, Incarnation: 3}}, Digests: []*fleetpb.Digest{{Id: "u", Home: "b", Sequence: 1<<64 - 1}}},
 	} {
 		data, err := proto.Marshal(m)
@@ -35,7 +36,7 @@
 	f.Fuzz(func(t *testing.T, first, second, third []byte, gapMs uint32) {
 		c := gossip.New(&fleetpb.Member{Vm: "a", Address: "a:1", DataCentre: "x", Incarnation: 5}, rng.New(1), []string{"b:1"})
 		upstreams := registry.New("a")
-		now := clock.Time(1000)
+		now, incarnation := clock.Time(1000), uint64(0)
 		update := func(m gossip.Msg) {
 			e := c.Update(now, m)
 			assert.Assert(t, len(e.Send) <= 10*(1+len(c.Members())), "%d messages", len(e.Send))
@@ -54,6 +55,8 @@
 			}
 			self, ok := c.Member("a")
 			assert.Assert(t, ok && self.Address == "a:1" && !c.IsTarget("a"))
+			assert.Assert(t, self.Incarnation >= incarnation, "incarnation %d after %d", self.Incarnation, incarnation)
+			incarnation = self.Incarnation
 			assert.Assert(t, len(c.Targets()) < len(c.Members()) && len(c.Live()) <= len(c.Members()))
 		}
 		update(gossip.PeerMsg{Message: &fleetpb.GossipMessage{From: "b", FromAddress: "b:1", Members: []*fleetpb.Member{{Vm: "b", Address: "b:1", DataCentre: "x"}}}})
