--- a/internal/control/tables/forward.go
+++ b/internal/control/tables/forward.go
@@ -122,6 +122,9 @@
 
 // forwarded validates the fields that only forwarded routes have.
 func (v *validator) forwarded(key string, r Route) {
+	if r.Match.PathPrefix != "" && !strings.HasSuffix(r.Match.PathPrefix, "/") {
+		v.add(key+".match.pathPrefix", "must end with /")
+	}
 	total := 0
 	for i, s := range r.Split {
 		if _, ok := v.doc.Pool(s.Pool); !ok {
@@ -135,9 +138,6 @@
 	if len(r.Split) > 0 && total == 0 {
 		v.add(key+".split", "the weights add up to 0")
 	}
-	if !strings.HasSuffix(r.Match.PathPrefix, "/") {
-		v.add(key+".match.pathPrefix", "must end with /")
-	}
 	if r.Attempts < 0 {
 		v.add(key+".attempts", "must not be negative")
 	}
