Wait for the first plan beside an engine with false layers

The first plan waits until the set of engines has stayed the same for 1.5 s. An engine that claimed layers beyond the model, or more than its memory holds, counted as one that holds layers: the leader planned at once with the engines known so far, and engines that joined counted as replacements.

Change: only layers of the model that the engine's accelerator can hold count.

Evidence: TestFirstPlanBesideFalseLayers fails without the change (3 orders to the first of two engines) and passes with it; the tests of placer pass.

--- a/internal/node/placer/fuzz_test.go
+++ b/internal/node/placer/fuzz_test.go
@@ -44,6 +44,30 @@
 // OrderLease implements Lease.
 func (alwaysLeased) OrderLease() (uint64, clock.Duration) { return 3, clock.Second }
 
+func fuzzPool() *tables.Pool {
+	return &tables.Pool{Name: "crew", Service: "crew", Engine: &tables.Engine{
+		Layers: 8, LayerMB: 100, CacheBytesPerToken: 8_000, Slots: 50, StepMs: 1, ReadTokensPerMs: 100, LoadTime: 100, Kinds: []tables.Accelerator{{Name: "card", MemoryMB: 800, StepFactor: 1, ReadFactor: 1}},
+	}}
+}
+
+// TestFirstPlanBesideFalseLayers guards against a first plan of the engines known so far because another one
+// claims layers that it cannot hold.
+func TestFirstPlanBesideFalseLayers(t *testing.T) {
+	for kind, to := range map[string]uint32{"card": 9, "other": 8} {
+		clk := clock.NewManual(1_000_000)
+		c := catalog.New("vm", clk, clock.Minute, nil)
+		c.SetTables(&tables.Document{Pools: []tables.Pool{*fuzzPool()}})
+		api := &oddEngine{t: t}
+		p := &Controller{Clock: clk, Lease: alwaysLeased{}, Catalog: c, API: api, term: 3, states: map[string]*engineState{}}
+		c.Announce(&upstreampb.Announcement{Id: "false", Name: "crew", Address: "10.0.0.1:1", DataCentre: "a", Accelerator: kind, LayerTo: to, Sequence: 1, LeaseMs: 60_000})
+		p.placePool(t.Context(), *fuzzPool())
+		clk.Advance(2 * firstPlanDelay)
+		c.Announce(&upstreampb.Announcement{Id: "odd", Name: "crew", Address: "10.0.0.9:1", DataCentre: "a", Accelerator: "card", Sequence: 1, LeaseMs: 60_000})
+		p.placePool(t.Context(), *fuzzPool())
+		assert.Equal(t, api.orders, 0, "%s: the plan did not wait for more engines", kind)
+	}
+}
+
 // FuzzPlacement checks that whatever an engine announces, and answers to orders, sound engines keep their layers, a
 // path through them is found, and orders fit the model and the engine.
 func FuzzPlacement(f *testing.F) {
@@ -53,15 +77,13 @@
 		f.Add(data, i%3, int64(i), i, 1<<i)
 		f.Add(data, (i+1)%3, int64(-1)<<63, -i, -1)
 	}
+	pool := fuzzPool()
 	f.Fuzz(func(t *testing.T, data []byte, outcome int, taken int64, from, to int) {
 		var a upstreampb.Announcement
 		if proto.Unmarshal(data, &a) != nil || registry.Validate(&a) != nil || a.Id != "odd" || a.Address != "10.0.0.9:1" {
 			return
 		}
 		a.LeaseMs = 60_000
-		pool := &tables.Pool{Name: "crew", Service: "crew", Engine: &tables.Engine{
-			Layers: 8, LayerMB: 100, CacheBytesPerToken: 8_000, Slots: 50, StepMs: 1, ReadTokensPerMs: 100, LoadTime: 100, Kinds: []tables.Accelerator{{Name: "card", MemoryMB: 800, StepFactor: 1, ReadFactor: 1}},
-		}}
 		clk := clock.NewManual(1_000_000)
 		c := catalog.New("vm", clk, clock.Minute, nil)
 		c.SetTables(&tables.Document{Pools: []tables.Pool{*pool}})
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -182,7 +182,7 @@
 	upstreams := map[string]*registry.Upstream{}
 	var engines []layers.Engine
 	members := c.Catalog.Members(p.Service)
-	anyHeld := slices.ContainsFunc(members, func(u *registry.Upstream) bool { return u.LayerTo > u.LayerFrom })
+	anyHeld := slices.ContainsFunc(members, func(u *registry.Upstream) bool { return holdsLayers(p.Engine, u) })
 	c.checkCompletion(ctx, now, members)
 	for _, u := range members {
 		k, ok := p.Engine.Kind(u.Accelerator)
@@ -217,6 +217,13 @@
 	sends.Wait()
 }
 
+// holdsLayers reports whether an engine holds layers of the model, as far as its accelerator can.
+func holdsLayers(e *tables.Engine, u *registry.Upstream) bool {
+	k, ok := e.Kind(u.Accelerator)
+	held := int(u.LayerTo) - int(u.LayerFrom)
+	return ok && held > 0 && int(u.LayerTo) <= e.Layers && float64(held)*e.LayerMB <= k.MemoryMB
+}
+
 // plan returns the orders to send now. Engines in use are extended only to cover a gap that
 // has persisted for growDelay, because the lost engine may return or a replacement may join.
 func (c *Controller) plan(now clock.Time, m layers.Model, engines []layers.Engine) []layers.Order {
