Take no reports on a VM that may not know the tables yet

Cause: a VM that had just started knew no tables for 0.35 s, so that no service could be judged, and took the report, which another VM had refused. Change: a VM that knows no tables refuses reports with 503 until it has learned from a quorum whether there are some. Where there are none yet, as before the first manifest, it takes them as before.

--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -304,12 +304,15 @@
 }
 
 // Announce adds an upstream's announcement to the catalog. That the upstream leaves is acknowledged only
-// once other VMs have recorded it. Announce fails if the announcement names no upstream to use, and on an
-// isolated VM, which could not propagate it.
+// once other VMs have recorded it. Announce fails if the announcement names no upstream to use, on a VM that
+// cannot judge that yet, and on an isolated VM, which could not propagate it.
 func (r *Router) Announce(ctx context.Context, a *upstreampb.Announcement) error {
 	if err := r.isolated(); err != nil {
 		return err
 	}
+	if err := r.canJudge(); err != nil {
+		return err
+	}
 	if err := r.catalog.Verify(a); err != nil {
 		r.RecordForeignAnnouncement(a.Id, err)
 		return err
@@ -400,6 +403,15 @@
 	r.quarantine.SetVMs(r.cfg.Settings.VM, live)
 }
 
+// canJudge returns an error if there may be tables that this VM does not know yet, as after a restart: it
+// cannot tell which services they name.
+func (r *Router) canJudge() error {
+	if r.plane.Current() == nil {
+		return r.plane.Ready()
+	}
+	return nil
+}
+
 // recordIfOld counts and logs an announcement that did not replace what is known of its upstream, because
 // a later one, or the upstream's end, is known. One is late; a series says that the later one is not the
 // upstream's own.
