Open a replica that panics again instead of ending the process

Callers lost all requests of a VM whose replica of the control state, gossip or a task panicked: crash.Report logs the panic and ends the process.

An attempt to open that fails releases the folder. Readers of the state, and the check of the membership, are contained apart, and tables are marked as in force only once the directory has taken them. The gossip core drops a message that panics and repairs what follows from the known VMs; each effect is contained apart, since most are reported once. Tasks run again after a panic. A violated invariant (tests) still ends all. TestAllGoroutinesReport takes Recover as well, which logs too.

--- a/internal/base/crash/crash_test.go
+++ b/internal/base/crash/crash_test.go
@@ -7,17 +7,20 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io"
 	"io/fs"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/base/crash"
+	"github.com/jasminecove/jasminecove/internal/base/invariant"
 )
 
 // checkLine checks that the output is one line that names a goroutine and holds the value and the whole
@@ -61,6 +64,27 @@
 	assert.Equal(t, crash.Contained(), before+1)
 }
 
+// TestContainNotViolations guards against tests that pass although an invariant is violated.
+func TestContainNotViolations(t *testing.T) {
+	crash.SetOutput("vm", io.Discard)
+	defer crash.SetOutput("", os.Stderr)
+	defer func() { assert.ErrorContains(t, recover().(error), "oneWinner") }()
+	crash.Contain("plan", func() { invariant.Check(invariant.Fatal{}, false, "oneWinner", "two") })
+}
+
+// TestRestart guards against a loop that ends at its first panic.
+func TestRestart(t *testing.T) {
+	crash.SetOutput("vm", io.Discard)
+	defer crash.SetOutput("", os.Stderr)
+	runs := 0
+	crash.Restart(t.Context(), "loop", func() {
+		if runs++; runs < 3 {
+			_ = indexBeyondEnd(nil)
+		}
+	})
+	assert.Equal(t, runs, 3)
+}
+
 func TestHandler(t *testing.T) {
 	var out bytes.Buffer
 	crash.SetOutput("vm", &out)
@@ -112,12 +136,13 @@
 	return isLiteral && name != "crash.Go" && (s.Sel.Name == "Go" || name == "time.AfterFunc")
 }
 
-// reports reports whether a function literal starts with a deferred call of Report.
+// reports reports whether a function literal starts with a deferred call of Report, or of Recover, which
+// reports too.
 func reports(f ast.Expr) bool {
 	lit, ok := f.(*ast.FuncLit)
 	if !ok || len(lit.Body.List) == 0 {
 		return false
 	}
 	d, ok := lit.Body.List[0].(*ast.DeferStmt)
-	return ok && fmt.Sprint(d.Call.Fun) == "&{crash Report}"
+	return ok && slices.Contains([]string{"&{crash Report}", "&{crash Recover}"}, fmt.Sprint(d.Call.Fun))
 }
--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -221,7 +221,7 @@
 		return Serve(ctx, c.local(), call), nil
 	}
 	go func() {
-		defer crash.Report("leader election of a call")
+		defer crash.Recover("leader election of a call")
 		select {
 		case <-elected:
 			cancel()
--- a/internal/control/replica/calls.go
+++ b/internal/control/replica/calls.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/control/raft"
 	"github.com/jasminecove/jasminecove/internal/control/state"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
@@ -38,7 +39,10 @@
 }
 
 func (p *proposal) finish(result *fleetpb.Result, err error) {
-	p.done <- proposalResult{result: result, err: err}
+	select {
+	case p.done <- proposalResult{result: result, err: err}:
+	default: // A panic ended the loop after the proposal had its result.
+	}
 }
 
 // read is a pending linearizable read.
@@ -175,6 +179,8 @@
 		return err
 	case <-ctx.Done():
 		return fmt.Errorf("form: %w", context.Cause(ctx))
+	case <-r.done:
+		return ErrStopped
 	}
 }
 
@@ -222,8 +228,9 @@
 			kept = append(kept, rd)
 			continue
 		}
-		rd.run(r.state)
-		rd.done <- nil
+		err := error(ErrPanicked)
+		crash.Contain("read of the control state", func() { rd.run(r.state); err = nil })
+		rd.done <- err
 	}
 	r.confirmed = kept
 }
--- a/internal/control/replica/loop.go
+++ b/internal/control/replica/loop.go
@@ -15,6 +15,9 @@
 // membershipInterval is the interval between checks of the group's membership.
 const membershipInterval = 100 * clock.Millisecond
 
+// membershipPause is how long the membership is not checked after a check that panicked.
+const membershipPause = 10 * clock.Second
+
 // event is one input of the loop: a message for the core, a function, a proposal
 // or a read.
 type event struct {
@@ -49,7 +52,9 @@
 	if err := r.perform(&sum); err != nil {
 		return err
 	}
-	r.manageMembership()
+	if !crash.Contain("membership", r.manageMembership) {
+		r.membershipCheckedAt = r.cfg.Clock.Now().Add(membershipPause)
+	}
 	r.publish()
 	return nil
 }
@@ -197,9 +202,11 @@
 	index := r.state.AppliedIndex()
 	encode := r.state.Capture()
 	go func() {
-		defer crash.Report("snapshot encoder")
-		data, err := encode()
-		r.post(event{run: func() { r.saveSnapshot(index, data, err) }})
+		defer crash.Recover("snapshot encoder")
+		var data []byte
+		err := error(ErrPanicked)
+		defer func() { r.post(event{run: func() { r.saveSnapshot(index, data, err) }}) }()
+		data, err = encode()
 	}()
 }
 
@@ -212,10 +219,13 @@
 	}
 	r.core.Update(r.cfg.Clock.Now(), raft.CompactMsg{Index: index, State: data})
 	s := r.core.Snapshot()
+	r.snapshotWriters.Add(1)
 	go func() {
-		defer crash.Report("snapshot writer")
-		err := r.journal.SaveSnapshot(s)
-		r.post(event{run: func() { r.snapshotSaved(s, err) }})
+		defer crash.Recover("snapshot writer")
+		err := error(ErrPanicked)
+		defer func() { r.post(event{run: func() { r.snapshotSaved(s, err) }}) }()
+		defer r.snapshotWriters.Done()
+		err = r.journal.SaveSnapshot(s)
 	}()
 }
 
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -9,12 +9,14 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
@@ -31,7 +33,10 @@
 	ErrSuperseded = fault.Sentinel("replica: superseded by another leader before the command was committed")
 	// ErrUnencodable reports a command that no replica can store.
 	ErrUnencodable = fault.Sentinel("replica: the command cannot be encoded")
-	ErrBusy        = fault.Sentinel("replica: too many pending calls")
+	// ErrPanicked reports a replica that stopped at a panic, after which its memory is not to be trusted. What
+	// its journal holds is.
+	ErrPanicked = fault.Sentinel("replica: stopped by a panic")
+	ErrBusy     = fault.Sentinel("replica: too many pending calls")
 )
 
 // Intervals and limits.
@@ -101,6 +106,7 @@
 	confirmed           []*read              // Confirmed reads whose index is not applied yet.
 	vms                 map[string]string    // VM of each replica, by identifier.
 	snapshotInProgress  bool
+	snapshotWriters     sync.WaitGroup
 	joins               map[string]*fleetpb.Replica
 	retired             map[string]bool
 	leaving             map[string]clock.Time // When replicas were last said to leave.
@@ -131,12 +137,18 @@
 }
 
 // Open loads the data folder and returns a replica; call Run to start it.
-func Open(cfg Config) (*Replica, error) {
+func Open(cfg Config) (r *Replica, err error) {
 	j, loaded, err := journal.Open(cfg.Disk)
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{
+	opened := false
+	defer func() {
+		if !opened { // By an error or a panic: the folder must not stay locked.
+			_ = j.Close()
+		}
+	}()
+	r = &Replica{
 		cfg: cfg, log: cfg.Log.Named("replica"), journal: j, identity: loaded.Identity,
 		inbox: make(chan event, inboxSize), done: make(chan struct{}),
 		proposals: map[uint64]*proposal{}, uncommitted: map[uint64]*proposal{}, reads: map[uint64]*read{},
@@ -151,7 +163,11 @@
 	if loaded.TruncatedBytes > 0 {
 		r.log.Warn("truncated an incomplete record at the end of the journal", "bytes", loaded.TruncatedBytes)
 	}
-	return r, r.rebuild(loaded.State)
+	if err := r.rebuild(loaded.State); err != nil {
+		return nil, err
+	}
+	opened = true
+	return r, nil
 }
 
 // newIdentity returns the identity of a new replica. Its identifier is random, so
@@ -198,9 +214,21 @@
 	return s.Term, max(0, s.leaseUntil.Sub(r.cfg.Clock.Now()))
 }
 
-// Run runs the replica until ctx ends or its disk fails.
+// Run runs the replica until ctx ends, its disk fails or it panics. After a panic the replica must be opened
+// again, since what it holds in memory may be half changed.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.done)
+	err := error(ErrPanicked)
+	crash.Contain("replica", func() { err = r.loop(ctx) })
+	if err == nil {
+		return r.stop(ErrStopped, nil)
+	}
+	r.log.Error("replica stopped", "error", err)
+	return r.stop(err, err)
+}
+
+// loop processes events until ctx ends or the disk fails.
+func (r *Replica) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	r.notify()
@@ -209,7 +237,7 @@
 		batch = batch[:0]
 		select {
 		case <-ctx.Done():
-			return r.stop(ErrStopped, nil)
+			return nil
 		case <-ticker.C:
 			batch = append(batch, event{msg: raft.TickMsg{}})
 		case e := <-r.inbox:
@@ -217,8 +245,7 @@
 		}
 		batch = r.fillBatch(batch)
 		if err := r.processBatch(batch); err != nil {
-			r.log.Error("replica stopped after a disk failure", "error", err)
-			return r.stop(err, err)
+			return err
 		}
 	}
 }
@@ -239,6 +266,7 @@
 // stop fails the pending proposals and closes the journal.
 func (r *Replica) stop(reason, result error) error {
 	r.err.Store(reason)
+	r.snapshotWriters.Wait() // The next replica writes the same files.
 	for _, p := range r.proposals {
 		p.finish(nil, ErrStopped)
 	}
@@ -283,8 +311,9 @@
 	}
 }
 
+// notify reports the state. The receiver only reads it, so that its panic leaves the replica whole.
 func (r *Replica) notify() {
 	if r.cfg.OnChange != nil {
-		r.cfg.OnChange(r.state)
+		crash.Contain("change of the control state", func() { r.cfg.OnChange(r.state) })
 	}
 }
--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -78,6 +78,7 @@
 	draining  atomic.Bool
 	drain     chan struct{} // Closed when a drain is requested.
 	tasks     sync.WaitGroup
+	ctx       context.Context // Of the tasks.
 	cancel    context.CancelFunc
 }
 
@@ -120,7 +121,8 @@
 
 // Start opens the listeners and starts the background tasks. Stop or Drain ends them.
 func (n *Node) Start(ctx context.Context) error {
-	ctx, n.cancel = context.WithCancel(ctx)
+	n.ctx, n.cancel = context.WithCancel(ctx)
+	ctx = n.ctx
 	n.links = stagelink.NewSet(ctx, n.setLinkDown)
 	if err := n.plane.Start(ctx); err != nil {
 		return err
@@ -220,13 +222,13 @@
 	return nil
 }
 
-// task runs f in a goroutine that Stop waits for.
+// task runs f in a goroutine that Stop waits for, and again if it panics.
 func (n *Node) task(name string, f func()) {
 	n.tasks.Add(1)
 	go func() {
 		defer crash.Report(name)
 		defer n.tasks.Done()
-		f()
+		crash.Restart(n.ctx, name, f)
 	}()
 }
 
--- a/internal/node/controlplane/calls.go
+++ b/internal/node/controlplane/calls.go
@@ -169,13 +169,13 @@
 		}
 		asked++
 		go func() {
-			defer crash.Report("explain call")
+			defer crash.Recover("explain call")
+			var account []byte
+			defer func() { answers <- account }()
 			reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Explain{Explain: &fleetpb.Explain{RequestId: id}}})
-			if err != nil {
-				answers <- nil
-				return
+			if err == nil {
+				account = reply.Account
 			}
-			answers <- reply.Account
 		}()
 	}
 	for range asked {
--- a/internal/node/controlplane/confirm.go
+++ b/internal/node/controlplane/confirm.go
@@ -36,12 +36,14 @@
 		candidates = candidates[1:]
 		pending++
 		go func() {
-			defer crash.Report("confirm call")
-			reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Confirm{Confirm: c}})
+			defer crash.Recover("confirm call")
+			err := error(ErrUnconfirmed)
+			defer func() { replies <- err }()
+			var reply *fleetpb.Reply
+			reply, err = p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Confirm{Confirm: c}})
 			if err == nil && reply.Code != fleetpb.Reply_OK {
 				err = fmt.Errorf("%s: %w: %s", vm, ErrUnconfirmed, reply.Detail)
 			}
-			replies <- err
 		}()
 	}
 	for range needed {
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -56,8 +56,8 @@
 			flushing = false
 		case <-ticker.C:
 		}
-		p.update(gossip.TickMsg{Upstreams: p.cfg.Directory.UpstreamsHash()})
-		p.stamp()
+		crash.Contain("gossip tick", func() { p.update(gossip.TickMsg{Upstreams: p.cfg.Directory.UpstreamsHash()}) })
+		crash.Contain("stamp", p.stamp)
 	}
 }
 
@@ -77,15 +77,20 @@
 	p.update(gossip.StampMsg{Stamp: st.Term<<gossip.StampTermShift + p.issued})
 }
 
-// update passes a message to the gossip state and executes the resulting effects.
-func (p *Plane) update(msg gossip.Msg) {
+// updateGossip passes a message to the gossip state. A panic costs the message, and what waits to be sent.
+func (p *Plane) updateGossip(msg gossip.Msg) (e gossip.Effects) {
 	p.mu.Lock()
-	if p.gossip == nil {
-		p.mu.Unlock()
-		return
+	defer p.mu.Unlock()
+	if p.gossip != nil && !crash.Contain("gossip", func() { e = p.gossip.Update(p.cfg.Clock.Now(), msg) }) {
+		crash.Contain("repair of the gossip", p.gossip.Repair)
 	}
-	e := p.gossip.Update(p.cfg.Clock.Now(), msg)
-	p.mu.Unlock()
+	return e
+}
+
+// update passes a message to the gossip state and executes the resulting effects. A panic of one does not
+// keep the others from being executed, since most are reported only once.
+func (p *Plane) update(msg gossip.Msg) {
+	e := p.updateGossip(msg)
 	if e.Queued {
 		select {
 		case p.gossipQueued <- struct{}{}:
@@ -106,21 +111,23 @@
 		}
 	}
 	for _, ev := range e.Events {
-		p.memberChanged(ev)
+		crash.Contain("change of a VM", func() { p.memberChanged(ev) })
 	}
 	if e.Revision > 0 {
 		p.wantRevision(e.Revision, e.From)
 	}
 	if len(e.Digests) > 0 {
-		if changed := p.cfg.Directory.TakeDigests(e.Digests); len(changed) > 0 {
+		var changed []*fleetpb.Digest
+		crash.Contain("digests", func() { changed = p.cfg.Directory.TakeDigests(e.Digests) })
+		if len(changed) > 0 {
 			p.update(gossip.DigestsMsg{Digests: changed, Except: e.From})
 		}
 	}
 	if len(e.HomeHashes) > 0 {
-		p.compareHomes(e.From, e.HomeHashes)
+		crash.Contain("comparison of upstreams", func() { p.compareHomes(e.From, e.HomeHashes) })
 	}
 	if e.UpstreamsDiffer != "" {
-		p.sendHomes(e.UpstreamsDiffer)
+		crash.Contain("comparison of upstreams", func() { p.sendHomes(e.UpstreamsDiffer) })
 	}
 }
 
--- a/internal/node/controlplane/load.go
+++ b/internal/node/controlplane/load.go
@@ -35,14 +35,19 @@
 	if p.transport == nil {
 		return
 	}
-	p.mu.Lock()
-	targets := p.gossip.Targets()
-	p.mu.Unlock()
+	targets := p.targets()
 	for _, address := range targets {
 		p.transport.Send(address, &fleetpb.Envelope{Body: &fleetpb.Envelope_Occupancy{Occupancy: o}})
 	}
 }
 
+// targets returns the fleet addresses of the gossip targets.
+func (p *Plane) targets() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gossip.Targets()
+}
+
 // TargetsAll reports whether the gossip targets are all other VMs.
 func (p *Plane) TargetsAll() bool {
 	p.mu.Lock()
@@ -64,13 +69,11 @@
 // collectorOf returns the VM that collects the load of a data centre.
 func (p *Plane) collectorOf(dataCentre string) string {
 	var vms []string
-	p.mu.Lock()
-	for _, m := range p.gossip.Live() {
-		if m.DataCentre == dataCentre && !m.Draining {
+	for _, m := range p.Members() {
+		if (m.State == fleetpb.Member_ALIVE || m.State == fleetpb.Member_SUSPECT) && m.DataCentre == dataCentre && !m.Draining {
 			vms = append(vms, m.Vm)
 		}
 	}
-	p.mu.Unlock()
 	now := p.cfg.Clock.Now()
 	p.loads.mu.Lock()
 	defer p.loads.mu.Unlock()
@@ -134,7 +137,7 @@
 func (p *Plane) exchangeLoads() {
 	for _, dc := range p.otherDataCentres() {
 		go func() {
-			defer crash.Report("load exchange of a data centre")
+			defer crash.Recover("load exchange of a data centre")
 			sums, err := p.callCollector(context.Background(), p.collectorOf(dc), &fleetpb.ReportLoad{})
 			if err != nil {
 				return
--- a/internal/node/controlplane/parts.go
+++ b/internal/node/controlplane/parts.go
@@ -27,9 +27,7 @@
 			exchange = true
 			round++
 		}
-		p.mu.Lock()
-		targets := p.gossip.Targets()
-		p.mu.Unlock()
+		targets := p.targets()
 		if len(targets) == 0 {
 			continue
 		}
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -54,8 +55,11 @@
 	demandInterval     = 1 * time.Second
 	fetchRetryDelay    = 50 * time.Millisecond
 	callTimeout        = 2 * time.Second
-	// reopenDelay is the delay before the data folder is opened again after a disk failure.
-	reopenDelay = 1 * time.Second
+	// reopenDelay is the delay before the data folder is opened again after a disk failure. After panics it
+	// grows from minReloadDelay to maxReloadDelay.
+	reopenDelay    = 1 * time.Second
+	minReloadDelay = 100 * time.Millisecond
+	maxReloadDelay = 30 * time.Second
 )
 
 // Config configures a Plane.
@@ -129,6 +133,7 @@
 	log       hclog.Logger
 	transport *link.Transport                 // Nil on a lone VM.
 	replica   atomic.Pointer[replica.Replica] // Nil without a disk, or while it fails.
+	memory    journal.Disk                    // Of a lone VM without a data folder.
 	client    *client.Client
 	demand    *demandAggregator
 	loads     loads
@@ -158,6 +163,7 @@
 	// listening is set once messages of other VMs can be handled. The transport accepts them before.
 	listening atomic.Bool
 	tasks     sync.WaitGroup
+	ctx       context.Context // Of the tasks.
 	cancel    context.CancelFunc
 	failed    chan error
 }
@@ -170,7 +176,7 @@
 
 // New creates a Plane. Start runs it.
 func New(cfg Config) (*Plane, error) {
-	p := &Plane{cfg: cfg, log: cfg.Log.Named("control"), wake: make(chan struct{}, 1), gossipQueued: make(chan struct{}, 1), failed: make(chan error, 1)}
+	p := &Plane{cfg: cfg, log: cfg.Log.Named("control"), memory: journal.Memory(), wake: make(chan struct{}, 1), gossipQueued: make(chan struct{}, 1), failed: make(chan error, 1)}
 	p.demand = newDemandAggregator(cfg.Clock)
 	p.loads = loads{collector: loadsum.New(cfg.Settings.DataCentre), avoidUntil: map[string]clock.Time{}}
 	p.founding = founding.New(p.foundingConfig(), cfg.Clock.Now())
@@ -186,7 +192,8 @@
 
 // Start joins the fleet. Stop leaves it.
 func (p *Plane) Start(ctx context.Context) error {
-	ctx, p.cancel = context.WithCancel(ctx)
+	p.ctx, p.cancel = context.WithCancel(ctx)
+	ctx = p.ctx
 	s := p.cfg.Settings
 	address := ""
 	if s.Listen.Fleet != "" {
@@ -224,7 +231,7 @@
 // journal in memory.
 func (p *Plane) openReplica() error {
 	s := p.cfg.Settings
-	disk := journal.Memory()
+	disk := p.memory
 	if s.DataFolder != "" {
 		var err error
 		disk, err = journal.Folder(s.DataFolder)
@@ -234,9 +241,7 @@
 	} else if s.Listen.Fleet != "" {
 		return nil
 	}
-	p.mu.Lock() // Gossip uses the same source concurrently when a failed disk is reopened.
-	seed := p.cfg.Source.Uint64()
-	p.mu.Unlock()
+	seed := p.seed()
 	r, err := replica.Open(replica.Config{
 		VM: s.VM, Disk: disk, Clock: p.cfg.Clock, Source: rng.New(seed), Sink: p.cfg.Sink, Log: p.cfg.Log,
 		Sender: p, OnChange: p.stateChanged, TargetVoters: s.Fleet.VoterTarget(), FirstStart: s.Fleet.FirstStart, HasLeft: p.hasLeft,
@@ -248,22 +253,39 @@
 	return nil
 }
 
-// runReplica runs the VM's replica. When its disk fails, the VM continues without a replica
-// and tries to open the data folder again until it succeeds. The state is then read from the
-// journal on disk; state in memory may never have reached the disk.
+// seed returns a random number. Gossip uses the same source concurrently when a replica is reopened.
+func (p *Plane) seed() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.Source.Uint64()
+}
+
+// runReplica runs the VM's replica. When its disk fails or it panics, the VM continues without a
+// replica and tries to open the data folder again until it succeeds. The state is then read from the
+// journal on disk; state in memory may never have reached the disk, or be half changed.
 func (p *Plane) runReplica(ctx context.Context) {
+	started := time.Now()
 	err := p.replica.Load().Run(ctx)
-	for ctx.Err() == nil && err != nil {
+	for reload := minReloadDelay; ctx.Err() == nil && err != nil; {
 		p.replica.Store(nil)
-		p.log.Error("replica stopped: disk failure", "error", err)
-		if p.cfg.Settings.Fleet.FaultTolerance == 0 {
+		p.log.Error("replica stopped", "error", err)
+		wait := reopenDelay
+		if errors.Is(err, replica.ErrPanicked) {
+			if time.Since(started) >= maxReloadDelay {
+				reload = minReloadDelay
+			}
+			wait, reload = reload, min(2*reload, maxReloadDelay)
+		} else if p.cfg.Settings.Fleet.FaultTolerance == 0 {
 			p.failed <- err
 			return
 		}
-		if delay.Wait(ctx, reopenDelay) != nil {
+		if delay.Wait(ctx, wait) != nil {
 			return
 		}
-		if err = p.openReplica(); err != nil {
+		started = time.Now()
+		err = replica.ErrPanicked
+		crash.Contain("opening of the replica", func() { err = p.openReplica() })
+		if err != nil {
 			continue
 		}
 		p.log.Info("replica reopened", "id", p.replica.Load().ID())
@@ -411,12 +433,13 @@
 	p.tasks.Wait()
 }
 
+// task runs f in a goroutine that Stop waits for, and again if it panics.
 func (p *Plane) task(name string, f func()) {
 	p.tasks.Add(1)
 	go func() {
 		defer crash.Report(name)
 		defer p.tasks.Done()
-		f()
+		crash.Restart(p.ctx, name, f)
 	}()
 }
 
--- a/internal/node/controlplane/plane_test.go
+++ b/internal/node/controlplane/plane_test.go
@@ -1,6 +1,8 @@
 package controlplane
 
 import (
+	"context"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -11,9 +13,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/node/settings"
 	"github.com/jasminecove/jasminecove/internal/request/quarantine"
@@ -130,3 +134,58 @@
 		assert.Assert(t, isValidOccupancy(own), "this VM's own report would be refused: %v", own)
 	})
 }
+
+// TestPanicOfReplica guards against the end of a process, or the loss of accepted tables, by a panic of the
+// replica. The VM runs one with the tables that it has.
+func TestPanicOfReplica(t *testing.T) {
+	p := newPlane(t)
+	assert.NilError(t, p.Start(t.Context()))
+	defer p.Stop()
+	for base := range uint64(3) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		result, err := p.Client().Propose(ctx, &fleetpb.Command{ChangeId: fmt.Sprint(base), Body: &fleetpb.Command_Apply{Apply: &fleetpb.ApplyTables{
+			BaseRevision: base, Document: []byte("routes: [{name: book, match: {pathPrefix: /a}, deadline: 3s, pool: desk}]\npools: [{name: desk, service: desk}]"),
+		}}})
+		cancel()
+		assert.NilError(t, err)
+		assert.Equal(t, result.Revision, base+1, result)
+		for p.Current().GetNumber() != base+1 {
+			time.Sleep(time.Millisecond)
+		}
+		r := p.replica.Load()
+		r.Deliver("b", nil)
+		for p.replica.Load() == r {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, p.Current().GetNumber(), base+1)
+	}
+	assert.Equal(t, len(p.Failed()), 0)
+}
+
+// faultyDirectory panics at digests and at changes of VMs.
+type faultyDirectory struct{ *catalog.Catalog }
+
+func (faultyDirectory) TakeDigests([]*fleetpb.Digest) []*fleetpb.Digest { panic("digests") }
+func (faultyDirectory) HomeBack(string)                                 { panic("home") }
+
+// TestPanicsOfGossip guards against the end of a process, a lock that stays held, or the loss of what the same
+// message also says, by a panic in the gossip or the directory.
+func TestPanicsOfGossip(t *testing.T) {
+	p := newPlane(t)
+	p.cfg.Directory = faultyDirectory{p.cfg.Directory.(*catalog.Catalog)}
+	p.startGossip("a:1")
+	before := crash.Contained()
+	peer := func(revision uint64, members ...*fleetpb.Member) gossip.PeerMsg {
+		return gossip.PeerMsg{Message: &fleetpb.GossipMessage{From: "b", Revision: revision, Members: members, Digests: []*fleetpb.Digest{{Id: "u"}}}}
+	}
+	p.update(peer(0, &fleetpb.Member{Vm: "b", Address: "b:1"}, nil))
+	assert.Equal(t, crash.Contained(), before+1)
+	assert.Equal(t, p.LiveVMs(), 2)
+	p.update(peer(7, &fleetpb.Member{Vm: "c", Address: "c:1"}))
+	assert.Equal(t, crash.Contained(), before+3)
+	assert.Equal(t, p.LiveVMs(), 3)
+	assert.Equal(t, p.wanted.Load().number, uint64(7))
+	assert.Equal(t, len(p.targets()), 0)
+	p.update(gossip.TickMsg{})
+	assert.Equal(t, len(p.targets()), 2)
+}
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -32,9 +32,9 @@
 		// An earlier version accepted them by its own rules, and accepted tables stay in force.
 		p.log.Warn("committed tables break a rule of this version", "revision", rev.Number, "error", err)
 	}
+	p.cfg.Directory.SetTables(doc)
 	p.patches.add(current, rev)
 	p.current.Store(rev)
-	p.cfg.Directory.SetTables(doc)
 	p.log.Info("tables in force", "revision", rev.Number, "author", rev.Author)
 	p.update(gossip.RevisionMsg{Revision: rev.Number})
 }
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -118,6 +118,7 @@
 	mu       sync.Mutex
 	ready    bool // Readiness in the last reply to the load balancer.
 	tasks    sync.WaitGroup
+	ctx      context.Context // Of the tasks.
 	cancel   context.CancelFunc
 }
 
@@ -162,7 +163,8 @@
 
 // Start opens the listeners and starts the background tasks. Drain or Stop ends them.
 func (r *Router) Start(ctx context.Context) error {
-	ctx, r.cancel = context.WithCancel(ctx)
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	ctx = r.ctx
 	if err := r.plane.Start(ctx); err != nil {
 		return err
 	}
@@ -251,13 +253,13 @@
 	return nil
 }
 
-// task runs f in a goroutine that Stop waits for.
+// task runs f in a goroutine that Stop waits for, and again if it panics.
 func (r *Router) task(name string, f func()) {
 	r.tasks.Add(1)
 	go func() {
 		defer crash.Report(name)
 		defer r.tasks.Done()
-		f()
+		crash.Restart(r.ctx, name, f)
 	}()
 }
 
