Contain panics of digests, messages, calls and goroutines of requests

A panic in a digest, a message or call of another VM, a hedged call, a stall timer, a check of a suspect or of a stored upstream, a cache copy or the reader of a stage link ended the process, and several held the lock of the catalog or the directory, or left the waiting side without an answer. Digests are taken one at a time, under a lock that is released by defer. The stream between VMs goes on after a message that panics, and a call gets UNAVAILABLE. What a goroutine of a request owes is sent by defer, and a service gets its slot back. Directory, catalog, admission and link hold no lock that a panic in their ticks leaves taken.

--- a/internal/fleet/link/accept.go
+++ b/internal/fleet/link/accept.go
@@ -7,6 +7,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 	"github.com/jasminecove/jasminecove/internal/wire/framing"
@@ -67,7 +68,7 @@
 		if p := e.GetProbe(); p != nil {
 			sequence = p.Sequence
 		} else {
-			t.handler.Message(vm, e)
+			crash.Contain("message of "+vm, func() { t.handler.Message(vm, e) })
 		}
 		if sequence == 0 {
 			continue
@@ -89,7 +90,8 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
-	reply := t.handler.Call(ctx, vm, c)
+	reply := &fleetpb.Reply{Code: fleetpb.Reply_UNAVAILABLE, Detail: "the call panicked"}
+	crash.Contain("call of "+vm, func() { reply = t.handler.Call(ctx, vm, c) })
 	w := framing.NewWriter(countingStream{stream, t})
 	if err := w.Write(reply); framing.IsUnsendable(err) {
 		t.log.Error("a reply cannot be sent", "vm", vm, "call", fmt.Sprintf("%T", c.Body), "error", err)
--- a/internal/fleet/link/peer.go
+++ b/internal/fleet/link/peer.go
@@ -10,6 +10,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 	"github.com/jasminecove/jasminecove/internal/wire/framing"
@@ -154,13 +155,18 @@
 		if err := r.Read(&e); err != nil {
 			return
 		}
-		p.mu.Lock()
-		p.liveness.received(e.GetProbe().GetSequence(), e.GetProbe().GetAnswersCarried())
-		p.mu.Unlock()
-		p.t.handler.Answered(vm)
+		p.received(e.GetProbe())
+		crash.Contain("answer of "+vm, func() { p.t.handler.Answered(vm) })
 	}
 }
 
+// received records the reply to a probe.
+func (p *peer) received(probe *fleetpb.Probe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.liveness.received(probe.GetSequence(), probe.GetAnswersCarried())
+}
+
 // write sends the queued messages and probes the connection.
 func (p *peer) write(conn *quic.Conn, stream *quic.Stream) error {
 	w := framing.NewWriter(countingStream{stream, p.t})
--- a/internal/fleet/link/transport.go
+++ b/internal/fleet/link/transport.go
@@ -131,7 +131,7 @@
 		_ = socket.Close()
 		return nil, fmt.Errorf("listen for VMs: %w", err)
 	}
-	t.spawn("link accept", t.accept)
+	t.spawn("link accept", func() { crash.Restart(t.ctx, "link accept", t.accept) })
 	return t, nil
 }
 
@@ -223,7 +223,8 @@
 	if p == nil {
 		p = newPeer(t, address)
 		t.peers[address] = p
-		t.spawn("link to "+address, p.run)
+		name := "link to " + address
+		t.spawn(name, func() { crash.Restart(t.ctx, name, p.run) })
 	}
 	return p
 }
@@ -237,11 +238,11 @@
 	}
 }
 
-// spawn runs f in a goroutine that Close waits for.
+// spawn runs f in a goroutine that Close waits for, and contains a panic of it.
 func (t *Transport) spawn(name string, f func()) {
 	t.tasks.Add(1)
 	go func() {
-		defer crash.Report(name)
+		defer crash.Recover(name)
 		defer t.tasks.Done()
 		f()
 	}()
--- a/internal/node/decision/decision.go
+++ b/internal/node/decision/decision.go
@@ -79,7 +79,7 @@
 	for {
 		select {
 		case line := <-l.queue:
-			l.write(line)
+			crash.Contain("log writer", func() { l.write(line) })
 		case <-l.stop:
 			l.drain()
 			return
--- a/internal/node/detector/detector.go
+++ b/internal/node/detector/detector.go
@@ -121,7 +121,7 @@
 		return
 	}
 	d.cfg.Go(func() {
-		defer crash.Report("check of a suspect")
+		defer crash.Recover("check of a suspect")
 		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 		defer cancel()
 		err := d.cfg.Prober.Probe(ctx, address)
--- a/internal/node/rejoin/rejoin.go
+++ b/internal/node/rejoin/rejoin.go
@@ -260,7 +260,7 @@
 	for _, u := range list.Upstreams {
 		slots <- struct{}{}
 		checks.Go(func() {
-			defer crash.Report("check of a stored upstream")
+			defer crash.Recover("check of a stored upstream")
 			defer func() { <-slots }()
 			if s.check(ctx, u) {
 				known.Add(1)
--- a/internal/pipeline/driver/run.go
+++ b/internal/pipeline/driver/run.go
@@ -302,8 +302,10 @@
 	result := make(chan bool, 1)
 	r.imported = result
 	go func() {
-		defer crash.Report("cache copy")
-		result <- r.d.api.CopyCache(r.ctx, from.Address, to.Address, r.id) == nil
+		defer crash.Recover("cache copy")
+		ok := false
+		defer func() { result <- ok }()
+		ok = r.d.api.CopyCache(r.ctx, from.Address, to.Address, r.id) == nil
 	}()
 }
 
--- a/internal/request/filter/admission.go
+++ b/internal/request/filter/admission.go
@@ -144,11 +144,15 @@
 			return
 		case <-ticker.C:
 		}
-		f.mu.Lock()
-		for _, p := range f.pools {
-			p.deliver(p.queue.Expire(f.clock.Now()))
-		}
-		f.mu.Unlock()
+		f.expire()
+	}
+}
+
+func (f *Admission) expire() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pools {
+		p.deliver(p.queue.Expire(f.clock.Now()))
 	}
 }
 
--- a/internal/request/filter/errors.go
+++ b/internal/request/filter/errors.go
@@ -7,5 +7,6 @@
 	// ErrResponseTooLarge is returned for a service's response that is larger than maxResponseBytes.
 	ErrResponseTooLarge = fault.Sentinel("filter: response of the service exceeds the maximum size")
 	// errRepeatedCrash ends a model call that lost engines before its answer had begun.
+	errPanicked      = fault.Sentinel("filter: the call ended by a panic")
 	errRepeatedCrash = fault.Sentinel("filter: several upstreams broke off the request early")
 )
--- a/internal/request/filter/hedge.go
+++ b/internal/request/filter/hedge.go
@@ -19,7 +19,11 @@
 	answers := make(chan attempt, 2)
 	send := func(u *registry.Upstream) {
 		tried = append(tried, u.Id)
-		crash.Go("hedged call", func() { answers <- s.attempt(ctx, x, watch, u, true) })
+		crash.Go("hedged call", func() {
+			a := attempt{upstream: u.Id, err: errPanicked}
+			defer func() { answers <- a }()
+			a = s.attempt(ctx, x, watch, u, true)
+		})
 	}
 	send(u)
 	pending := 1
--- a/internal/request/filter/quarantine_test.go
+++ b/internal/request/filter/quarantine_test.go
@@ -29,10 +29,11 @@
 
 // callers serves requests by the filters under test.
 type callers struct {
-	guard   *quarantine.Guard
-	dir     *directory.Directory
-	forward *filter.Forward
-	pool    tables.Pool
+	guard    *quarantine.Guard
+	dir      *directory.Directory
+	services *filter.Services
+	forward  *filter.Forward
+	pool     tables.Pool
 }
 
 func newCallers(t *testing.T, pool tables.Pool, pipelines filter.PipelineRunner) *callers {
@@ -43,7 +44,8 @@
 		dir:   directory.New("vm", clk, rng.New(1), func(directory.Change) {}), pool: pool,
 	}
 	c.dir.SetTables(&tables.Document{Routes: []tables.Route{{Name: "r", Pool: pool.Name}}, Pools: []tables.Pool{pool}})
-	c.forward = filter.NewForward(pipelines, filter.NewServices(c.dir, clk, c.guard), nil, c.guard)
+	c.services = filter.NewServices(c.dir, clk, c.guard)
+	c.forward = filter.NewForward(pipelines, c.services, nil, c.guard)
 	return c
 }
 
--- a/internal/request/filter/ratelimit_test.go
+++ b/internal/request/filter/ratelimit_test.go
@@ -14,6 +14,7 @@
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/request/filter"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
+	"github.com/jasminecove/jasminecove/internal/routing/ratecap"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
@@ -83,3 +84,17 @@
 		}
 	}
 }
+
+// TestPanicOfHedgedCall guards against a caller without an answer, and a service whose slot stays taken.
+func TestPanicOfHedgedCall(t *testing.T) {
+	c := newCallers(t, tables.Pool{Name: "desk", Service: "desk", HedgeAfter: clock.Minute, RetryShare: 1}, nil)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(filter.RateLimitHeader, "500") }))
+	t.Cleanup(server.Close)
+	c.dir.Announce(&upstreampb.Announcement{Id: "s", Kind: "service", Name: "desk", Address: server.Listener.Addr().String(), LeaseMs: 60_000, Sequence: 1})
+	c.services.OnRateLimit = func(string, string, ratecap.Change) { panic("limit") }
+	began := time.Now()
+	assert.Assert(t, c.serve(t, 0, nil, "") != "" && time.Since(began) < 3*time.Second)
+	c.services.OnRateLimit = nil
+	time.Sleep(500 * time.Millisecond) // The limit that the service named allows calls again.
+	assert.Equal(t, c.serve(t, 1, nil, ""), refusal.Kind(""))
+}
--- a/internal/request/filter/services.go
+++ b/internal/request/filter/services.go
@@ -132,6 +132,7 @@
 // attempt makes one attempt and reports its result to the directory. A canceled attempt is
 // not reported because it says nothing about the upstream.
 func (s *Services) attempt(ctx context.Context, x *exchange.Exchange, watch *quarantine.Watch, u *registry.Upstream, repeatable bool) attempt {
+	defer s.dir.ReleaseService(u.Id)
 	watched := watch.Begin([]string{u.Id})
 	sentAt := s.clock.Now()
 	startedMs := s.dir.CountSend(u.Id)
@@ -143,7 +144,6 @@
 	if d, ok := ratecap.ParsePause(a.header.Get("Retry-After")); ok && a.status == http.StatusServiceUnavailable {
 		s.dir.RecordPause(u.Id, startedMs, d)
 	}
-	s.dir.ReleaseService(u.Id)
 	s.judge(watched, u, a)
 	if !errors.Is(a.err, context.Canceled) {
 		s.dir.RecordOutcome(x.Pool.Name, u.Id, a.err == nil && !a.notRun)
--- a/internal/request/forward/stall.go
+++ b/internal/request/forward/stall.go
@@ -82,7 +82,7 @@
 
 // onTimer handles the timer: it checks whether the run has paused for too long.
 func (w *stallDetector) onTimer() {
-	defer crash.Report("stall timer")
+	defer crash.Recover("stall timer")
 	w.mu.Lock()
 	paused := time.Since(w.lastProgress)
 	timeout, stopped := w.timeout, w.stopped
--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/fleet/registry"
 	"github.com/jasminecove/jasminecove/internal/routing/lookup"
@@ -133,8 +134,12 @@
 
 // update passes an announcement to the registry by apply and reports the changes.
 func (c *Catalog) update(a *upstreampb.Announcement, apply func(clock.Time, *upstreampb.Announcement) bool) {
-	var change Change
+	c.notify(c.apply(a, apply))
+}
+
+func (c *Catalog) apply(a *upstreampb.Announcement, apply func(clock.Time, *upstreampb.Announcement) bool) (change Change) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.clock.Now()
 	previous, known := c.registry.Get(a.Id)
 	if apply(now, a) {
@@ -146,20 +151,22 @@
 	c.diff(previous, known, current, live, &change)
 	// An announcement proves that the upstream is running.
 	c.markAlive(a.Id)
-	c.mu.Unlock()
-	c.notify(change)
+	return change
 }
 
 // Deregister removes an upstream that reported that it is terminating.
 func (c *Catalog) Deregister(id string) {
-	c.mu.Lock()
-	d := c.registry.End(c.clock.Now(), id)
-	c.mu.Unlock()
-	if d != nil {
+	if d := c.end(id); d != nil {
 		c.notify(Change{Digests: []*fleetpb.Digest{d}, Ended: []string{id}})
 	}
 }
 
+func (c *Catalog) end(id string) *fleetpb.Digest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registry.End(c.clock.Now(), id)
+}
+
 // DigestOf returns a digest of an upstream for other VMs, or nil if it is unknown.
 func (c *Catalog) DigestOf(id string) *fleetpb.Digest {
 	c.mu.Lock()
@@ -218,34 +225,44 @@
 	}
 }
 
-// TakeDigests implements controlplane.Directory.
+// TakeDigests implements controlplane.Directory. A digest that panics costs itself only.
 func (c *Catalog) TakeDigests(digests []*fleetpb.Digest) []*fleetpb.Digest {
 	var change Change
 	var changed []*fleetpb.Digest
-	c.mu.Lock()
-	now := c.clock.Now()
 	for _, d := range digests {
-		previous, known := c.registry.Get(d.Id)
-		if !c.registry.ApplyDigest(now, d) {
-			continue
-		}
-		changed = append(changed, d)
-		current, live := c.registry.Get(d.Id)
-		c.diff(previous, known, current, live, &change)
+		crash.Contain("digest", func() {
+			if c.takeDigest(d, &change) {
+				changed = append(changed, d)
+			}
+		})
 	}
-	c.mu.Unlock()
-	c.notify(change)
+	crash.Contain("change of upstreams", func() { c.notify(change) })
 	return changed
 }
 
+func (c *Catalog) takeDigest(d *fleetpb.Digest, change *Change) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	previous, known := c.registry.Get(d.Id)
+	if !c.registry.ApplyDigest(c.clock.Now(), d) {
+		return false
+	}
+	current, live := c.registry.Get(d.Id)
+	c.diff(previous, known, current, live, change)
+	return true
+}
+
 // suspendThreshold is the time between two ticks above which this VM itself must have
 // been suspended.
 const suspendThreshold = 800 * clock.Millisecond
 
 // Tick expires leases. A VM that was suspended received no renewals, so Tick extends all
 // leases by the duration of the suspension.
-func (c *Catalog) Tick() {
+func (c *Catalog) Tick() { c.notify(c.expire()) }
+
+func (c *Catalog) expire() Change {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.clock.Now()
 	if gap := now.Sub(c.lastTick); c.lastTick != 0 && gap > suspendThreshold {
 		c.registry.ExtendLeases(gap)
@@ -258,8 +275,7 @@
 		delete(c.health, d.Id)
 		change.Ended = append(change.Ended, d.Id)
 	}
-	c.mu.Unlock()
-	c.notify(change)
+	return change
 }
 
 // HomeLost implements controlplane.Directory.
--- a/internal/routing/catalog/leaving.go
+++ b/internal/routing/catalog/leaving.go
@@ -5,15 +5,18 @@
 // RecordLeaving records that the process of an upstream that started at a given time said in a response
 // that it leaves. It gets no more requests, and it is reported to other VMs.
 func (c *Catalog) RecordLeaving(id string, startedMs uint64) {
-	var change Change
+	c.notify(c.markLeaving(id, startedMs))
+}
+
+func (c *Catalog) markLeaving(id string, startedMs uint64) (change Change) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	previous, known := c.registry.Get(id)
 	if c.registry.MarkLeaving(c.clock.Now(), id, startedMs) {
 		current, live := c.registry.Get(id)
 		c.diff(previous, known, current, live, &change)
 	}
-	c.mu.Unlock()
-	c.notify(change)
+	return change
 }
 
 // mergeLeaving records what upstreams said to another VM.
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
@@ -116,8 +117,13 @@
 // Announce registers an upstream's announcement and returns the interval after which
 // the upstream should announce itself again.
 func (d *Directory) Announce(a *upstreampb.Announcement) clock.Duration {
-	var change Change
+	d.notify(d.announce(a))
+	return registry.RenewInterval(clock.Duration(a.LeaseMs))
+}
+
+func (d *Directory) announce(a *upstreampb.Announcement) (change Change) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.clock.Now()
 	previous, known := d.registry.Get(a.Id)
 	if d.registry.Announce(now, a) {
@@ -128,9 +134,7 @@
 	if known {
 		d.diff(previous, a, &change)
 	}
-	d.mu.Unlock()
-	d.notify(change)
-	return registry.RenewInterval(clock.Duration(a.LeaseMs))
+	return change
 }
 
 // diff adds to change what a newer announcement of a known upstream changes.
@@ -156,45 +160,57 @@
 }
 
 // TakeDigests merges digests of upstreams received from other VMs. It returns those
-// that changed the registry.
+// that changed the registry. A digest that panics costs itself only.
 func (d *Directory) TakeDigests(digests []*fleetpb.Digest) []*fleetpb.Digest {
 	var change Change
 	var changed []*fleetpb.Digest
-	d.mu.Lock()
-	now := d.clock.Now()
 	for _, g := range digests {
-		previous, known := d.registry.Get(g.Id)
-		if !d.registry.ApplyDigest(now, g) {
-			continue
-		}
-		changed = append(changed, g)
-		current, live := d.registry.Get(g.Id)
-		if known && !live {
-			change.Ended = append(change.Ended, g.Id)
-		}
-		if known && live {
-			d.diff(previous, current.Announcement, &change)
-		}
+		crash.Contain("digest", func() {
+			if d.takeDigest(g, &change) {
+				changed = append(changed, g)
+			}
+		})
 	}
-	d.mu.Unlock()
-	d.notify(change)
+	crash.Contain("change of upstreams", func() { d.notify(change) })
 	return changed
 }
 
+func (d *Directory) takeDigest(g *fleetpb.Digest, change *Change) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	previous, known := d.registry.Get(g.Id)
+	if !d.registry.ApplyDigest(d.clock.Now(), g) {
+		return false
+	}
+	current, live := d.registry.Get(g.Id)
+	if known && !live {
+		change.Ended = append(change.Ended, g.Id)
+	}
+	if known && live {
+		d.diff(previous, current.Announcement, change)
+	}
+	return true
+}
+
 // Tick expires leases.
 func (d *Directory) Tick() {
+	ended := d.expire()
+	change := Change{Digests: ended}
+	for _, g := range ended {
+		change.Ended = append(change.Ended, g.Id)
+	}
+	d.notify(change)
+}
+
+func (d *Directory) expire() []*fleetpb.Digest {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	ended := d.registry.Expire(d.clock.Now())
 	for _, g := range ended {
 		d.forget(g.Id)
 	}
 	d.limits.Prune(func(id string) bool { _, live := d.registry.Get(id); return live })
-	d.mu.Unlock()
-	change := Change{Digests: ended}
-	for _, g := range ended {
-		change.Ended = append(change.Ended, g.Id)
-	}
-	d.notify(change)
+	return ended
 }
 
 // Deregister implements controlplane.Directory.
--- a/internal/upstream/stagelink/link.go
+++ b/internal/upstream/stagelink/link.go
@@ -20,6 +20,7 @@
 const (
 	ErrProbeTimeout = fault.Sentinel("stagelink: no reply to probes within the probe timeout")
 	ErrClosed       = fault.Sentinel("stagelink: link closed")
+	errPanicked     = fault.Sentinel("stagelink: the reader panicked")
 	ErrNotUpgraded  = fault.Sentinel("stagelink: engine did not switch to the stage protocol")
 )
 
@@ -227,7 +228,8 @@
 			l.notifyAll(ResumedEvent)
 		}
 		first = false
-		if err := s.serve(ctx); err == ErrProbeTimeout {
+		crash.Contain("stage link stream", func() { err = s.serve(ctx) })
+		if err == ErrProbeTimeout {
 			l.probeTimeouts.Add(1)
 		}
 	}
--- a/internal/upstream/stagelink/stream.go
+++ b/internal/upstream/stagelink/stream.go
@@ -77,9 +77,14 @@
 	s.receivedAt.Store(time.Now().UnixNano())
 	readResult := make(chan error, 1)
 	crash.Go("stage link reader", func() {
-		readResult <- s.read()
-		cancel()
+		err := error(errPanicked)
+		defer func() {
+			readResult <- err
+			cancel()
+		}()
+		err = s.read()
 	})
+	defer func() { _ = s.conn.Close() }()
 	err := s.write(ctx)
 	_ = s.conn.Close()
 	readErr := <-readResult
