Test that a digest, message, call or probe that panics costs itself only

TestPanicOfDigest (catalog), TestPanicsOfHandler (link) and TestPanicOfProbe (detector) inject panics by a nil digest, a receiver of changes, a handler and a prober, and check that the next message arrives on the same connection, the other digests count and no lock is held.

--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -26,11 +26,19 @@
 	repliesUnsendable atomic.Bool
 }
 
-func (r *recorder) Message(from string, e *fleetpb.Envelope) { r.received <- from + ":" + e.From }
+func (r *recorder) Message(from string, e *fleetpb.Envelope) {
+	if e.From == "panic" {
+		panic("message")
+	}
+	r.received <- from + ":" + e.From
+}
 
 func (r *recorder) Answered(string) {}
 
-func (r *recorder) Call(_ context.Context, from string, _ *fleetpb.Call) *fleetpb.Reply {
+func (r *recorder) Call(_ context.Context, from string, c *fleetpb.Call) *fleetpb.Reply {
+	if c.From == "panic" {
+		panic("call")
+	}
 	if r.repliesUnsendable.Load() {
 		return &fleetpb.Reply{Detail: "\xff"}
 	}
@@ -100,6 +108,20 @@
 	assert.Assert(t, framing.IsUnsendable(err))
 }
 
+// TestPanicsOfHandler guards against a message or call that costs more than itself.
+func TestPanicsOfHandler(t *testing.T) {
+	_, of := newKeys(t, "a", "b")
+	a, _ := open(t, of["a"])
+	b, messages := open(t, of["b"])
+	a.Send(b.Address(), &fleetpb.Envelope{From: "panic"})
+	a.Send(b.Address(), &fleetpb.Envelope{From: "next"})
+	assert.Equal(t, <-messages.received, "a:next")
+	reply, err := a.Call(t.Context(), b.Address(), &fleetpb.Call{From: "panic"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Code, fleetpb.Reply_UNAVAILABLE)
+	assert.Equal(t, a.Stats().Dialed, int64(1))
+}
+
 // TestCallUntrustedAuthority checks that a call fails between VMs whose certificates were
 // signed by different authorities.
 func TestCallUntrustedAuthority(t *testing.T) {
--- a/internal/node/detector/detector_test.go
+++ b/internal/node/detector/detector_test.go
@@ -61,6 +61,18 @@
 	}), tasks.Wait
 }
 
+// panickingProber panics at each probe.
+type panickingProber struct{}
+
+func (panickingProber) Probe(context.Context, string) error { panic("probe") }
+
+// TestPanicOfProbe guards against the end of a process by the check of one suspect.
+func TestPanicOfProbe(t *testing.T) {
+	c := &fakeCatalog{}
+	detector.New(detector.Config{Clock: clock.NewSystem(), Catalog: c, Prober: panickingProber{}, Go: func(task func()) { task() }}).Verify("u:1", "refused", "r")
+	assert.Equal(t, len(c.dead), 0)
+}
+
 // TestVerify names two engines at fault: the process of one has ended, the other listens and
 // only refused a request for lack of capacity. Only the first may be reported dead.
 func TestVerify(t *testing.T) {
--- a/internal/routing/catalog/catalog_test.go
+++ b/internal/routing/catalog/catalog_test.go
@@ -468,3 +468,13 @@
 	each := join(more)
 	assert.Assert(t, each < known*pointerBytes/10, "%d bytes for one upstream beside %d", each, known)
 }
+
+// TestPanicOfDigest guards against a digest that costs the others of its message, or leaves the catalog locked.
+func TestPanicOfDigest(t *testing.T) {
+	f := newFleet(2)
+	c := catalog.New("z", f.clock, clock.Minute, func(catalog.Change) { panic("change") })
+	f.catalogs[1].Announce(&upstreampb.Announcement{Id: "u", Name: "desk", Address: "u:1", Sequence: 1, LeaseMs: 60_000})
+	digest := f.catalogs[1].DigestOf("u")
+	assert.Equal(t, len(c.TakeDigests([]*fleetpb.Digest{nil, digest})), 1)
+	assert.Equal(t, len(c.Members("desk")), 1)
+}
