--- a/internal/request/filter/errors.go
+++ b/internal/request/filter/errors.go
@@ -6,6 +6,8 @@
 const (
 	// ErrResponseTooLarge is returned for a service's response that is larger than maxResponseBytes.
 	ErrResponseTooLarge = fault.Sentinel("filter: response of the service exceeds the maximum size")
+	// errPanicked ends an attempt that panicked.
+	errPanicked = fault.Sentinel("filter: the call ended by a panic")
 	// errRepeatedCrash ends a model call that lost engines before its answer had begun.
 	errRepeatedCrash = fault.Sentinel("filter: several upstreams broke off the request early")
 )
