Keep the callbacks of a run's engines with that run

Engines of an earlier path were then counted as those on which the later run depends, so that its prompt parts could be accused for them. Change: the run is handed on with its engines. The tests of the package pass.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -261,7 +261,7 @@
 func (s *stream) runOnce(ctx context.Context, t *target) runResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.watchEngines(ctx, t, cancel)
+	s.watchEngines(ctx, t, s.watched, cancel)
 	stall := s.newStallDetector(ctx, t, cancel)
 	defer stall.stop()
 	d := &s.h.cfg.Dialect
--- a/internal/request/forward/target.go
+++ b/internal/request/forward/target.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
 )
@@ -82,9 +83,8 @@
 
 // watchEngines moves the run to another path when one of its engines is found dead, or cancels it
 // if that fails. It also tries another path when an engine is about to give up layers, which
-// otherwise waits for the run.
-func (s *stream) watchEngines(ctx context.Context, t *target, cancel context.CancelCauseFunc) {
-	run := s.watched
+// otherwise waits for the run. Its callbacks may come when the stream has begun a later run.
+func (s *stream) watchEngines(ctx context.Context, t *target, run *quarantine.WatchedRun, cancel context.CancelCauseFunc) {
 	run.DependOn(t.engineIDs())
 	lost := func(dead string) {
 		run.Lost(dead)
@@ -92,11 +92,11 @@
 			cancel(errEngineDead)
 			return
 		}
-		s.watchEngines(ctx, t, cancel)
+		s.watchEngines(ctx, t, run, cancel)
 	}
 	vacate := func(id string) {
 		if s.repath(ctx, t, id) {
-			s.watchEngines(ctx, t, cancel)
+			s.watchEngines(ctx, t, run, cancel)
 		}
 	}
 	t.setWatch(s.h.cfg.Catalog.Watch(t.engineIDs(), lost, vacate))
