Release the quarantine's lock by defer when a change of it panics

A panic in a change of the quarantine held its lock, so that each later request would have waited for it, since callers of update are now contained.

--- a/internal/request/quarantine/guard.go
+++ b/internal/request/quarantine/guard.go
@@ -185,16 +185,21 @@
 	return g.version
 }
 
-// update applies a change and reports its events.
-func (g *Guard) update(change func(now clock.Time) []Event) {
+// apply applies a change. It returns its events and, with them, how many keys are in quarantine.
+func (g *Guard) apply(change func(now clock.Time) []Event) (events []Event, parts, requests int, pending bool) {
 	g.mu.Lock()
-	events := change(g.clock.Now())
+	defer g.mu.Unlock()
+	events = change(g.clock.Now())
 	g.version += uint64(len(events))
-	parts, requests, pending := 0, 0, g.tracker.pending
 	if len(events) > 0 {
 		parts, requests = g.tracker.Quarantined()
 	}
-	g.mu.Unlock()
+	return events, parts, requests, g.tracker.pending
+}
+
+// update applies a change and reports its events.
+func (g *Guard) update(change func(now clock.Time) []Event) {
+	events, parts, requests, pending := g.apply(change)
 	if pending {
 		select {
 		case g.changed <- struct{}{}:
