--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -145,10 +145,11 @@
 	} else {
 		wrote = make(chan error, 1)
 		go func() {
-			defer crash.Report("request body")
+			defer crash.Recover("request body")
+			err := error(ErrNoResponse)
+			defer func() { wrote <- err }()
 			buffers := net.Buffers{r.Head, r.Body}
-			_, err := buffers.WriteTo(c.Conn)
-			wrote <- err
+			_, err = buffers.WriteTo(c.Conn)
 		}()
 	}
 	resp, err := readHead(c, r) //nolint:bodyclose // Response.Close closes or keeps the connection.
