Let a hedged call end with its caller's deadline

Callers saw 502 for 504 when the service of a hedged call did not answer in time, and the service was not counted as failing. Cause: detached the attempts from the caller's context and so from its deadline; they were cancelled instead. Change: the attempts keep the deadline.

--- a/internal/request/filter/hedge.go
+++ b/internal/request/filter/hedge.go
@@ -14,13 +14,26 @@
 // the upstream leaves, or wants no calls, which would else never be read from one that is slow.
 const loserTimeout = time.Second
 
+// withDeadlineOnly returns a context that ends at the deadline of another one, but not with it.
+func withDeadlineOnly(ctx context.Context) (context.Context, context.CancelFunc) {
+	detached := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(detached, deadline)
+	}
+	return context.WithCancel(detached)
+}
+
 // hedge sends an idempotent call, and sends it to a second upstream as well if the first
 // has not responded within the pool's HedgeAfter and the retry budget allows it. It returns
 // the first success and cancels the other attempt loserTimeout later, or when the caller leaves.
 func (s *Services) hedge(ctx context.Context, x *exchange.Exchange, watch *quarantine.Watch, u *registry.Upstream, tried []string) (attempt, []string) {
 	caller := ctx
-	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
-	stop := context.AfterFunc(caller, cancel)
+	ctx, cancel := withDeadlineOnly(caller)
+	stop := context.AfterFunc(caller, func() {
+		if caller.Err() == context.Canceled {
+			cancel()
+		}
+	})
 	answers := make(chan attempt, 2)
 	send := func(u *registry.Upstream) {
 		tried = append(tried, u.Id)
