Take what an engine reports of layers that it was ordered before tables changed

Found by a review: when a manifest shortens the model while an engine loads layers of the longer one, its reports were refused on all VMs, that it leaves among them, so that its lease ended and nobody ordered it other layers.

--- a/internal/routing/catalog/catalog.go
+++ b/internal/routing/catalog/catalog.go
@@ -48,6 +48,7 @@
 	capacityFreed chan struct{}          // Closed when a request releases its capacity.
 	lastTick      clock.Time
 	placements    map[string]*placement
+	mostLayers    map[string]int        // Most layers of each service's model since this VM started.
 	paces         map[string]pace       // Of slow engines.
 	vacated       map[string]clock.Time // When each engine was last vacated.
 	linkBusyUntil map[link]float64      // Time until which each link is busy, as a fractional clock.Time.
@@ -80,7 +81,7 @@
 		registry: registry.New(vm, registry.WithMaxLease(maxLease)),
 		health:   map[string]*health{}, ownUsage: map[string]*usage{}, otherUsage: map[string]*otherUsage{},
 		views: map[string]*poolView{}, capacityFreed: make(chan struct{}),
-		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, paces: map[string]pace{}, vacated: map[string]clock.Time{}, durations: map[string]float64{}, leavingSince: map[string]clock.Time{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 }, peerCount: func() int { return 0 },
+		watchers: map[string]map[watchEntry]struct{}{}, placements: map[string]*placement{}, mostLayers: map[string]int{}, paces: map[string]pace{}, vacated: map[string]clock.Time{}, durations: map[string]float64{}, leavingSince: map[string]clock.Time{}, linkBusyUntil: map[link]float64{}, vmCount: func() int { return 1 }, peerCount: func() int { return 0 },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -113,6 +114,7 @@
 	c.index.Store(lookup.New(number+1, doc))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordLayers(doc)
 	clear(c.views)
 }
 
--- a/internal/routing/catalog/limit.go
+++ b/internal/routing/catalog/limit.go
@@ -68,14 +68,17 @@
 	if len(limits) == 0 {
 		return
 	}
-	c.mu.Lock()
-	changes := c.limits.Merge(c.clock.Now(), limits, ageMs)
-	c.mu.Unlock()
-	if len(changes) > 0 && c.onChange != nil {
+	if changes := c.applyLimits(limits, ageMs); len(changes) > 0 && c.onChange != nil {
 		c.onChange(Change{RateLimits: changes})
 	}
 }
 
+func (c *Catalog) applyLimits(limits []*fleetpb.RateLimit, ageMs uint32) map[string]ratecap.Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.Merge(c.clock.Now(), limits, ageMs)
+}
+
 // limitedOnly returns the ratecap.UsedUpError if a request finds no path only because of rate limits, and
 // err otherwise.
 func (c *Catalog) limitedOnly(m chain.Model, engines []chain.Engine, r chain.Request, now clock.Time, err error) error {
--- a/internal/routing/directory/directory.go
+++ b/internal/routing/directory/directory.go
@@ -215,15 +215,19 @@
 
 // Deregister implements controlplane.Directory.
 func (d *Directory) Deregister(id string) {
+	if g := d.end(id); g != nil {
+		d.notify(Change{Digests: []*fleetpb.Digest{g}, Ended: []string{id}})
+	}
+}
+
+func (d *Directory) end(id string) *fleetpb.Digest {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	g := d.registry.End(d.clock.Now(), id)
 	if g != nil {
 		d.forget(id)
 	}
-	d.mu.Unlock()
-	if g != nil {
-		d.notify(Change{Digests: []*fleetpb.Digest{g}, Ended: []string{id}})
-	}
+	return g
 }
 
 // DigestOf returns a digest of an upstream for other VMs, or nil if it is unknown.
--- a/internal/routing/lookup/lookup.go
+++ b/internal/routing/lookup/lookup.go
@@ -14,7 +14,7 @@
 	doc        *tables.Document
 	routes     map[routeKey]*tables.Route
 	pools      map[string]*tables.Pool
-	services   map[string]int // Most layers of a pool's model, by service.
+	services   map[string]bool
 	keys       map[string]*tables.Organisation
 }
 
@@ -28,7 +28,7 @@
 func New(number uint64, doc *tables.Document) *Index {
 	x := &Index{
 		Generation: number, doc: doc, routes: make(map[routeKey]*tables.Route, len(doc.Routes)),
-		pools: map[string]*tables.Pool{}, services: map[string]int{}, keys: map[string]*tables.Organisation{},
+		pools: map[string]*tables.Pool{}, services: map[string]bool{}, keys: map[string]*tables.Organisation{},
 	}
 	for i := range doc.Routes {
 		r := &doc.Routes[i]
@@ -39,11 +39,7 @@
 	for i := range doc.Pools {
 		p := &doc.Pools[i]
 		x.pools[p.Name] = p
-		layers := 0
-		if p.Engine != nil {
-			layers = p.Engine.Layers
-		}
-		x.services[p.Service] = max(x.services[p.Service], layers)
+		x.services[p.Service] = true
 	}
 	for i := range doc.Organisations {
 		for _, k := range doc.Organisations[i].Keys {
@@ -81,12 +77,8 @@
 	return p, ok
 }
 
-// ServiceLayers returns the number of layers of the model of a service's engines, which is 0 for plain
-// services, and whether a pool names the service.
-func (x *Index) ServiceLayers(service string) (layers int, ok bool) {
-	layers, ok = x.services[service]
-	return layers, ok
-}
+// HasService reports whether a pool names a service.
+func (x *Index) HasService(service string) bool { return x.services[service] }
 
 // RequiresKey reports whether the tables have a list of organisations, so that requests need the
 // key of one. An empty list admits no key.
