--- a/internal/control/founding/founding.go
+++ b/internal/control/founding/founding.go
@@ -76,9 +76,7 @@
 // Attempt asks the other VMs with a disk, which are live, once. founder is set if this VM's replica was
 // created at a first start.
 func (f *Founding) Attempt(now clock.Time, live []string, self *fleetpb.Replica, founder bool, ask Ask) Outcome {
-	f.mu.Lock()
-	held, asked := f.core.begin(now, live)
-	f.mu.Unlock()
+	held, asked := f.begin(now, live)
 	answers := map[string]*fleetpb.FormAnswer{}
 	for _, vm := range asked {
 		if vm == self.Vm {
@@ -92,10 +90,19 @@
 			answers[vm] = a
 		}
 	}
+	return f.gather(f.decide(now, held, founder, answers), self, ask)
+}
+
+func (f *Founding) begin(now clock.Time, live []string) (*promise, []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.begin(now, live)
+}
+
+func (f *Founding) decide(now clock.Time, held *promise, founder bool, answers map[string]*fleetpb.FormAnswer) []string {
 	f.mu.Lock()
-	voters := f.core.decide(now, held, founder, answers)
-	f.mu.Unlock()
-	return f.gather(voters, self, ask)
+	defer f.mu.Unlock()
+	return f.core.decide(now, held, founder, answers)
 }
 
 // gather asks voters for their promises.
--- a/internal/node/router/occupancy.go
+++ b/internal/node/router/occupancy.go
@@ -20,7 +20,7 @@
 func (r *Router) occupancyLoop(ctx context.Context) {
 	ticker := time.NewTicker(occupancyInterval)
 	defer ticker.Stop()
-	for sequence := uint64(1); ; sequence++ {
+	for {
 		found := false
 		select {
 		case <-ctx.Done():
@@ -29,27 +29,28 @@
 		case <-r.found:
 			found = true
 		}
+		r.reports++
 		r.countVMs()
 		if r.plane.TargetsAll() {
 			o := r.catalog.Occupancy()
-			o.Sequence, o.Boot = sequence, r.started
+			o.Sequence, o.Boot = r.reports, r.started
 			r.plane.ShareOccupancy(o)
 			continue
 		}
 		if findings := r.catalog.Findings(); findings != nil {
 			r.plane.ShareOccupancy(findings)
 		}
-		if !found && sequence%reportRounds == 0 {
-			r.reportLoad(ctx, sequence)
+		if !found && r.reports%reportRounds == 0 {
+			r.reportLoad(ctx)
 		}
 	}
 }
 
 // reportLoad exchanges the load with the other VMs of a large fleet, through the collector of
 // the data centre.
-func (r *Router) reportLoad(ctx context.Context, sequence uint64) {
+func (r *Router) reportLoad(ctx context.Context) {
 	o := r.catalog.Occupancy()
-	o.Sequence, o.Boot = sequence, r.started
+	o.Sequence, o.Boot = r.reports, r.started
 	sums, err := r.plane.ReportLoad(ctx, o)
 	if err != nil {
 		return // The plane has logged it; the next report goes to another VM.
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -111,6 +111,7 @@
 	callers    *http.Server // Nil if the VM serves no callers.
 	servers    []*http.Server
 	started    uint64
+	reports    uint64 // Number of rounds of the occupancy loop, which alone uses it.
 
 	draining      atomic.Bool
 	reloadAgain   atomic.Bool   // The settings file may not have been written in full when it was read.
