Take reports as soon as it is confirmed which tables there are

Change: it waits only for the tables that a quorum names. Tests changed: a VM that relayed the first manifest may not have it in force yet, so that its first report may be refused; these tests wait until the VMs are ready, and expect the same after it.

--- a/internal/node/controlplane/view.go
+++ b/internal/node/controlplane/view.go
@@ -26,6 +26,10 @@
 	return r != nil && r.Status().LeaseLeft > 0
 }
 
+// TablesConfirmed reports whether the tables that a quorum named since the start of this VM are in force
+// here, or there were none.
+func (p *Plane) TablesConfirmed() bool { return p.confirmed.Load() }
+
 // Ready returns nil if the VM may accept requests, or the reason why not.
 func (p *Plane) Ready() error {
 	if !p.confirmed.Load() || p.transport != nil && !p.upstreamsSynced.Load() {
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -409,8 +409,8 @@
 // canJudge returns an error if there may be tables that this VM does not know yet, as after a restart: it
 // cannot tell which services they name.
 func (r *Router) canJudge() error {
-	if r.plane.Current() == nil {
-		return r.plane.Ready()
+	if r.plane.Current() == nil && !r.plane.TablesConfirmed() {
+		return ErrNoTables
 	}
 	return nil
 }
