Check stalled entries of the detector as the monitor does

A request that stalled on an engine had its router take every entry of the engine's stalledServers for dead and tell the other VMs: the engine itself, an upstream of another service, and engines named by another process under the same id. Such upstreams got no requests until they announced themselves again. Only internal/node/monitor checked the process and the entries.

The checks are now Report.SentBy and Report.Awaited beside placer.Report, and both callers use them. detector.Catalog gets Upstream for it. An entry that is not another live engine of the service is no longer logged as suspected. With -race, detector, monitor and placer pass.

--- a/internal/node/detector/detector.go
+++ b/internal/node/detector/detector.go
@@ -32,7 +32,7 @@
 
 // Catalog resolves addresses to upstreams and records the findings of the detector.
 type Catalog interface {
-	ByAddress(address string) (id string, ok bool)
+	placer.Upstreams
 	MarkDead(id string, own bool)
 	MarkUnreachable(id string)
 }
@@ -97,18 +97,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	u, known := d.cfg.Catalog.Upstream(id)
 	report, err := d.cfg.Engines.Report(ctx, id, address)
 	if err != nil {
 		d.cfg.Log.Decision("upstreamSuspected", id, "reason", "no report", "error", err.Error())
 		d.cfg.Catalog.MarkUnreachable(id)
 		return
 	}
-	for _, other := range report.Stalled {
-		lost, ok := d.cfg.Catalog.ByAddress(other)
-		d.cfg.Log.Decision("upstreamSuspected", lost, "reason", "another engine waits for it", "address", other, "reportedBy", id, "known", ok)
-		if ok {
-			d.cfg.Catalog.MarkDead(lost, true)
-		}
+	if !known || !report.SentBy(u, d.cfg.Catalog) {
+		d.cfg.Log.Logger().Debug("another process of the engine reports", "id", id, "address", address, "startedMs", report.StartedMs)
+		return
+	}
+	for _, lost := range report.Awaited(u, d.cfg.Catalog) {
+		d.cfg.Log.Decision("upstreamSuspected", lost.Id, "reason", "another engine waits for it", "address", lost.Address, "reportedBy", id, "known", true)
+		d.cfg.Catalog.MarkDead(lost.Id, true)
 	}
 }
 
--- a/internal/node/detector/detector_test.go
+++ b/internal/node/detector/detector_test.go
@@ -12,10 +12,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/fleet/registry"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/node/detector"
 	"github.com/jasminecove/jasminecove/internal/node/placer"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
+	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
 // fakeCatalog records the upstreams reported as dead.
@@ -30,6 +32,10 @@
 	return id, ok
 }
 
+func (c *fakeCatalog) Upstream(id string) (*registry.Upstream, bool) {
+	return &registry.Upstream{Announcement: &upstreampb.Announcement{Id: id, Name: "crew"}}, id != ""
+}
+
 func (c *fakeCatalog) MarkDead(id string, _ bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/monitor/monitor.go
+++ b/internal/node/monitor/monitor.go
@@ -32,8 +32,7 @@
 	RecordPace(id string, pace float64)
 	// RecordLeaving records that the process of an upstream that started at a given time leaves.
 	RecordLeaving(id string, startedMs uint64)
-	ByAddress(address string) (id string, ok bool)
-	Upstream(id string) (*registry.Upstream, bool)
+	placer.Upstreams
 	MarkDead(id string, own bool)
 }
 
@@ -74,7 +73,7 @@
 		m.Log.Logger().Debug("engine sent no report", "id", u.Id, "address", u.Address, "error", err)
 		return
 	}
-	if current, live := m.Catalog.Upstream(u.Id); !live || current.StartedMs != u.StartedMs || !r.IsOf(u.StartedMs) {
+	if !r.SentBy(u, m.Catalog) {
 		m.Log.Logger().Debug("another process of the engine reports", "id", u.Id, "address", u.Address, "startedMs", r.StartedMs)
 		return
 	}
@@ -86,21 +85,12 @@
 	if r.Leaving {
 		m.Catalog.RecordLeaving(u.Id, u.StartedMs)
 	}
-	for _, address := range r.Stalled {
-		if id, ok := m.Catalog.ByAddress(address); ok && m.mayWaitFor(u, id) {
-			m.Log.Decision("upstreamSuspected", id, "reason", "another engine waits for it", "address", address, "reportedBy", u.Id, "known", true)
-			m.Catalog.MarkDead(id, true)
-		}
+	for _, lost := range r.Awaited(u, m.Catalog) {
+		m.Log.Decision("upstreamSuspected", lost.Id, "reason", "another engine waits for it", "address", lost.Address, "reportedBy", u.Id, "known", true)
+		m.Catalog.MarkDead(lost.Id, true)
 	}
 }
 
-// mayWaitFor reports whether requests on an engine may wait for an upstream: for another engine of the
-// same service.
-func (m *Monitor) mayWaitFor(u *registry.Upstream, id string) bool {
-	other, live := m.Catalog.Upstream(id)
-	return live && id != u.Id && other.Name == u.Name
-}
-
 // logPace logs an engine's pace if it changed much.
 func (m *Monitor) logPace(id string, pace float64) {
 	m.mu.Lock()
--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -105,6 +105,34 @@
 	return r.StartedMs == startedMs || r.StartedMs == 0 || startedMs == 0
 }
 
+// Upstreams finds live upstreams.
+type Upstreams interface {
+	ByAddress(address string) (id string, ok bool)
+	Upstream(id string) (*registry.Upstream, bool)
+}
+
+// SentBy reports whether the report may be of an engine that was asked, and whose process still runs.
+func (r Report) SentBy(u *registry.Upstream, known Upstreams) bool {
+	current, live := known.Upstream(u.Id)
+	return live && current.StartedMs == u.StartedMs && r.IsOf(u.StartedMs)
+}
+
+// Awaited returns the upstreams that requests on the engine that reports wait for. Those may only be other
+// engines of the same service.
+func (r Report) Awaited(u *registry.Upstream, known Upstreams) []*registry.Upstream {
+	var awaited []*registry.Upstream
+	for _, address := range r.Stalled {
+		id, ok := known.ByAddress(address)
+		if !ok || id == u.Id {
+			continue
+		}
+		if other, live := known.Upstream(id); live && other.Name == u.Name {
+			awaited = append(awaited, other)
+		}
+	}
+	return awaited
+}
+
 // API sends calls to engines.
 type API interface {
 	// Place sends an order. It returns ErrRefused, ErrUnanswered or nil.
