Check a stalled run again after a check panicked

A panic of OnStall in the stall timer was contained, but the timer was not set again: nothing watched the run any more, and its stream hung on the blocked engine until the route's deadline. The same held for a panic of the search for another target, and one in reportSlow left the run uncanceled.

The decision of the timer is now stallDetector.check, which onTimer contains; after a panic it checks again stallSlack later. The run is canceled by defer. The fixture gets OnStall, nil by default.

--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -33,6 +33,7 @@
 // fixture is a Handler behind an HTTP server, with a catalog of test upstreams.
 type fixture struct {
 	suspected func(address, reason, requestID string)
+	stalled   func(ctx context.Context, id, address string)
 	lenders   forward.Lenders
 	repath    func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error
 	catalog   *catalog.Catalog
@@ -87,7 +88,7 @@
 	}
 	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.once.Do(func() {
-			cfg.Retries, cfg.Lenders = f.retries, f.lenders
+			cfg.Retries, cfg.Lenders, cfg.OnStall = f.retries, f.lenders, f.stalled
 			f.handler = forward.New(cfg)
 		})
 		f.handler.ServeHTTP(w, r)
--- a/internal/request/forward/stall.go
+++ b/internal/request/forward/stall.go
@@ -80,37 +80,46 @@
 	return float64(tokens) * w.t.currentPath().TokenMs
 }
 
-// onTimer handles the timer: it checks whether the run has paused for too long.
+// onTimer handles the timer. A check that panics is made again.
 func (w *stallDetector) onTimer() {
-	defer crash.Recover("stall timer")
 	w.mu.Lock()
 	paused := time.Since(w.lastProgress)
 	timeout, stopped := w.timeout, w.stopped
 	w.mu.Unlock()
-	switch {
-	case stopped || w.ctx.Err() != nil:
+	if stopped || w.ctx.Err() != nil {
 		return
-	case paused >= w.longest && w.hasOtherTarget():
-		w.reportSlow(paused)
-		w.cancel(errStalled)
+	}
+	next := paused + stallSlack
+	crash.Contain("stall timer", func() { next = w.check(paused, timeout) })
+	if w.ctx.Err() != nil {
 		return
-	case paused >= w.longest:
-		timeout = paused + stallSlack
-	case paused >= timeout && w.s.h.cfg.OnStall != nil && len(w.t.currentPath().Hops) > 0:
-		w.s.h.cfg.OnStall(w.ctx, w.t.id, w.t.address)
-		timeout = paused + stallSlack
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
-		next := timeout
 		if paused < w.longest {
-			next = min(timeout, w.longest)
+			next = min(next, w.longest)
 		}
 		w.timer.Reset(max(time.Millisecond, next-time.Since(w.lastProgress)))
 	}
 }
 
+// check checks whether the run has paused for too long, and returns the pause after which to check again.
+func (w *stallDetector) check(paused, timeout time.Duration) time.Duration {
+	switch {
+	case paused >= w.longest && w.hasOtherTarget():
+		defer w.cancel(errStalled)
+		w.reportSlow(paused)
+		return timeout
+	case paused >= w.longest:
+		return paused + stallSlack
+	case paused >= timeout && w.s.h.cfg.OnStall != nil && len(w.t.currentPath().Hops) > 0:
+		w.s.h.cfg.OnStall(w.ctx, w.t.id, w.t.address)
+		return paused + stallSlack
+	}
+	return timeout
+}
+
 // longestPause returns how long a run may pause before another one is tried.
 func (s *stream) longestPause() time.Duration {
 	timeout := s.x.Forward.Route.Events.CallerTimeout
