End a loan round whose leader panics

A panic of the request that leads a loan round, as of a lender's call, ended that request only. The round stayed open in loanRounds: its channel was never closed, and each later request to the pool that needed a loan joined it and waited until its own deadline.

The round is now ended by a deferred call. As it got nothing, the next round starts after loanDelay, like after a round without a loan. TestPanicOfLoanRound failed without the change (a caller waited 5 s, the route's deadline) and passes with it; the loan tests pass 3 of 3 with -race.

--- a/internal/request/forward/loan.go
+++ b/internal/request/forward/loan.go
@@ -101,8 +101,9 @@
 func (h *Handler) borrow(ctx context.Context, r *loanRound, pool, requestID string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loanRoundTimeout)
 	defer cancel()
-	others := h.cfg.Lenders.Others()
 	got, asked, failed, wanted := 0, 0, 0, 0
+	defer func() { h.endRound(r, pool, got) }() // Also after a panic, as other requests wait.
+	others := h.cfg.Lenders.Others()
 	for len(others) > 0 && asked < maxLenders && ctx.Err() == nil {
 		h.mu.Lock()
 		wanted = r.wanted
@@ -127,6 +128,10 @@
 		h.reserve(r, pool, lent)
 	}
 	h.cfg.Log.Decision("repeatsBorrowed", requestID, "pool", pool, "wanted", wanted, "got", got, "asked", asked, "failed", failed)
+}
+
+// endRound ends a round that got a number of retries.
+func (h *Handler) endRound(r *loanRound, pool string, got int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if got == 0 {
--- a/internal/request/forward/panic_test.go
+++ b/internal/request/forward/panic_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/request/retryshare"
 )
 
 // TestPanicOfStallCheck guards against a stream that hangs on a blocked engine once a check of it has panicked.
@@ -21,3 +25,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, wantEvents(1, 5))
 }
+
+// panickingLenders panics at each loan.
+type panickingLenders struct{}
+
+func (panickingLenders) Others() []string { return []string{"vm-2"} }
+
+func (panickingLenders) Borrow(context.Context, string, string, int) (int, error) { panic("loan") }
+
+// TestPanicOfLoanRound guards against streams that wait for a round whose leader panicked.
+func TestPanicOfLoanRound(t *testing.T) {
+	f := newFixture(t)
+	f.retries = retryshare.Limits{Allowance: 3, Window: 10 * clock.Second}
+	f.lenders = panickingLenders{}
+	f.start(t, "e1", "crew", 0, 8, events(30, 11))
+	for range 2 {
+		began := time.Now()
+		_, _, err := f.do(t, "POST", "/draft/1", "prompt")
+		assert.Assert(t, err != nil)
+		assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
+	}
+}
