Cancel a run whose change of path panicked

A watch calls lost at most once. A panic in it, as of the Repath call, left the run neither moved nor canceled: its stream waited for the dead engine until the caller's deadline, if the stall timer found no other path. The capacity of the path that it had chosen stayed reserved.

lost now cancels the run by defer unless it has moved, and repath releases the new path by defer unless it is in use. catalog.Watch is unchanged, as lost is its only callback that comes once.

--- a/internal/request/forward/panic_test.go
+++ b/internal/request/forward/panic_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +13,7 @@
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/request/retryshare"
+	"github.com/jasminecove/jasminecove/internal/routing/chain"
 )
 
 // TestPanicOfStallCheck guards against a stream that hangs on a blocked engine once a check of it has panicked.
@@ -46,3 +50,28 @@
 		assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
 	}
 }
+
+// TestPanicOfRepath guards against a run that waits for a dead engine once the change of its path panicked.
+func TestPanicOfRepath(t *testing.T) {
+	f := newFixture(t)
+	var once sync.Once
+	f.start(t, "e1", "crew", 0, 4, func(u *upstream, c net.Conn, r *http.Request) {
+		first := false
+		once.Do(func() { first = true })
+		if !first {
+			events(5, 0)(u, c, r)
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: id-1\r\n%sContent-Length: 1000\r\n\r\n%s", integrity, wantEvents(1, 2))
+		f.start(t, "e3", "crew", 4, 8, serveNothing)
+		f.catalog.MarkDead("e2", true)
+	})
+	f.start(t, "e2", "crew", 4, 8, serveNothing)
+	f.repath = func(context.Context, string, string, string, []chain.Hop) error { panic("repath") }
+	began := time.Now()
+	_, body, err := f.do(t, "POST", "/draft/1", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, body, wantEvents(1, 5))
+	assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
+	assert.Equal(t, f.catalog.Requests("e3"), 0)
+}
--- a/internal/request/forward/target.go
+++ b/internal/request/forward/target.go
@@ -87,12 +87,18 @@
 func (s *stream) watchEngines(ctx context.Context, t *target, run *quarantine.WatchedRun, cancel context.CancelCauseFunc) {
 	run.DependOn(t.engineIDs())
 	lost := func(dead string) {
+		moved := false
+		defer func() {
+			if !moved { // Also after a panic, as a watch calls lost once.
+				cancel(errEngineDead)
+			}
+		}()
 		run.Lost(dead)
 		if _, quarantined := s.watch.Check(); quarantined || !s.repath(ctx, t, dead) {
-			cancel(errEngineDead)
 			return
 		}
 		s.watchEngines(ctx, t, run, cancel)
+		moved = true
 	}
 	vacate := func(id string) {
 		if s.repath(ctx, t, id) {
@@ -115,8 +121,13 @@
 	if err != nil {
 		return false
 	}
+	replaced := false
+	defer func() {
+		if !replaced {
+			release()
+		}
+	}()
 	if p.Hops[0] != old.Hops[0] || slices.ContainsFunc(p.Hops, func(h chain.Hop) bool { return h.Engine == around }) {
-		release()
 		return false
 	}
 	ctx, stop := context.WithTimeout(ctx, repathTimeout)
@@ -124,9 +135,6 @@
 	err = s.h.cfg.Repath(ctx, t.id, t.address, s.x.ID, p.Hops)
 	s.h.cfg.Log.Decision("pathChanged", s.x.ID, "upstream", t.id, "around", around, "hops", len(p.Hops), "error", errText(err),
 		"estimateTokenMs", p.TokenMs, "atMs", time.Since(s.x.Received).Milliseconds())
-	if err != nil || !t.replacePath(p, release) {
-		release()
-		return false
-	}
-	return true
+	replaced = err == nil && t.replacePath(p, release)
+	return replaced
 }
