Wait in TestPanicsOutsideTheReplica until the change was reported

Trace: a proposal gets its result before the replica reports the change whose receiver panics, so the test could look before.

--- a/internal/control/replica/replica_test.go
+++ b/internal/control/replica/replica_test.go
@@ -117,7 +117,9 @@
 	awaitLead(t, r)
 	f.change.Store(true)
 	apply(t, r, 0)
-	assert.Assert(t, !f.change.Load())
+	for end := time.Now().Add(5 * time.Second); f.change.Load(); time.Sleep(time.Millisecond) { // It follows the result.
+		assert.Assert(t, time.Now().Before(end))
+	}
 	assert.ErrorIs(t, r.Read(t.Context(), func(*state.State) { panic("read") }), replica.ErrPanicked)
 	apply(t, r, 1)
 	assert.Equal(t, len(ended), 0)
