Log which revision of the tables decided a request, and who was asked for them

What callers saw: a 404 by older tables, of which the logs of say neither the revision that decided it nor whom the VM had asked for a newer one.

Change: documents carry their revision number. "answered" and "failed" name it, "failed" also the revision in force, its age, the newest one known and since when. "tables in force" names the VM that sent them and how long they were awaited; fetches that fail or take 100 ms or more name the VM that was asked.

Measured: go test of internal/request/forward, internal/node/controlplane and internal/routing passes. No decision changed.

--- a/internal/control/tables/tables.go
+++ b/internal/control/tables/tables.go
@@ -19,6 +19,14 @@
 	// in the VM's settings.
 	Organisations []Organisation `yaml:"organisations,omitempty" json:"organisations,omitempty"`
 	Callers       CallerLimits   `yaml:"callers,omitempty" json:"callers,omitempty"`
+	// Revision is the number under which the tables were committed; 0 before that.
+	Revision uint64 `yaml:"-" json:"-"`
+}
+
+// WithRevision returns a copy of the document that was committed as a revision.
+func (d Document) WithRevision(number uint64) *Document {
+	d.Revision = number
+	return &d
 }
 
 // Route sends the requests that it matches to the pool that it names.
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -53,6 +53,8 @@
 	demandInterval     = 1 * time.Second
 	fetchRetryDelay    = 50 * time.Millisecond
 	callTimeout        = 2 * time.Second
+	// slowFetch is how long a fetch of the tables takes at least to be logged as slow.
+	slowFetch = 100 * clock.Millisecond
 	// reopenDelay is the delay before the data folder is opened again after a disk failure. After panics it
 	// grows from minReloadDelay to maxReloadDelay.
 	reopenDelay    = 1 * time.Second
@@ -141,12 +143,14 @@
 	// gossipQueued is signalled when gossip updates wait to be sent; capacity 1.
 	gossipQueued chan struct{}
 
-	current   atomic.Pointer[fleetpb.Revision]
-	installMu sync.Mutex
-	patches   patchCache
-	wanted    atomic.Pointer[wantedRevision]
-	wake      chan struct{}
-	founding  *founding.Founding
+	current atomic.Pointer[fleetpb.Revision]
+	// currentSince is the clock.Time at which current came into force.
+	currentSince atomic.Int64
+	installMu    sync.Mutex
+	patches      patchCache
+	wanted       atomic.Pointer[wantedRevision]
+	wake         chan struct{}
+	founding     *founding.Founding
 	// seeds are those of the settings, and storedSeeds those on disk. Guarded by mu.
 	seeds, storedSeeds []string
 	confirmed          atomic.Bool // The revision that the quorum named at the start is in force.
@@ -170,6 +174,7 @@
 type wantedRevision struct {
 	number uint64
 	vm     string
+	since  clock.Time // Since when a newer revision than the one in force is known.
 }
 
 // New creates a Plane. Start runs it.
@@ -240,7 +245,7 @@
 // stateChanged is called in the replica's goroutine after commands were applied.
 func (p *Plane) stateChanged(s *state.State) {
 	if rev := s.Revision(); rev != nil {
-		p.install(rev)
+		p.install(rev, p.cfg.Settings.VM)
 	}
 }
 
--- a/internal/node/controlplane/plane_test.go
+++ b/internal/node/controlplane/plane_test.go
@@ -44,9 +44,9 @@
 func TestTablesOfEarlierVersionStayInForce(t *testing.T) {
 	p := newPlane(t)
 	const pools = "pools: [{name: desk, service: desk}]"
-	p.install(&fleetpb.Revision{Number: 1, Document: []byte("routes: [{name: book, match: {host: a.example}, pool: desk, deadline: 9000h}]\n" + pools)})
+	p.install(&fleetpb.Revision{Number: 1, Document: []byte("routes: [{name: book, match: {host: a.example}, pool: desk, deadline: 9000h}]\n" + pools)}, "b")
 	assert.Equal(t, p.Current().GetNumber(), uint64(1))
-	p.install(&fleetpb.Revision{Number: 2, Document: []byte("not tables")})
+	p.install(&fleetpb.Revision{Number: 2, Document: []byte("not tables")}, "b")
 	assert.Equal(t, p.Current().GetNumber(), uint64(1))
 }
 
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -6,15 +6,18 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
+	"github.com/jasminecove/jasminecove/internal/control/catchup"
 	"github.com/jasminecove/jasminecove/internal/control/patch"
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
-// install puts a committed revision in force unless a newer one is already in force.
-func (p *Plane) install(rev *fleetpb.Revision) {
+// install puts a committed revision in force unless a newer one is already in force. The source is the VM
+// that sent it.
+func (p *Plane) install(rev *fleetpb.Revision, source string) {
 	p.installMu.Lock()
 	defer p.installMu.Unlock()
 	current := p.current.Load()
@@ -32,22 +35,27 @@
 		// An earlier version accepted them by its own rules, and accepted tables stay in force.
 		p.log.Warn("committed tables break a rule of this version", "revision", rev.Number, "error", err)
 	}
-	p.cfg.Directory.SetTables(doc)
+	p.cfg.Directory.SetTables(doc.WithRevision(rev.Number))
 	p.patches.add(current, rev)
+	behind := p.TablesStatus().Behind
 	p.current.Store(rev)
-	p.log.Info("tables in force", "revision", rev.Number, "author", rev.Author)
+	p.currentSince.Store(int64(p.cfg.Clock.Now()))
+	p.log.Info("tables in force", "revision", rev.Number, "author", rev.Author, "from", source, "behindMs", behind)
 	p.update(gossip.RevisionMsg{Revision: rev.Number})
 }
 
 // wantRevision records that another VM has a newer revision in force or, without a VM, that
 // the quorum has committed it. The highest number stays wanted until it is in force here.
 func (p *Plane) wantRevision(number uint64, vm string) {
-	next := &wantedRevision{number: number, vm: vm}
+	next := &wantedRevision{number: number, vm: vm, since: p.cfg.Clock.Now()}
 	for {
 		was := p.wanted.Load()
 		if was != nil && was.number >= number {
 			break
 		}
+		if was != nil && was.number > p.Current().GetNumber() {
+			next.since = was.since
+		}
 		if p.wanted.CompareAndSwap(was, next) {
 			break
 		}
@@ -98,6 +106,20 @@
 	return true
 }
 
+// TablesStatus says how current the tables of this VM are.
+func (p *Plane) TablesStatus() catchup.Status {
+	now := p.cfg.Clock.Now()
+	st := catchup.Status{Revision: p.Current().GetNumber()}
+	st.Wanted = st.Revision
+	if st.Revision > 0 {
+		st.Age = now.Sub(clock.Time(p.currentSince.Load()))
+	}
+	if w := p.wanted.Load(); w != nil && w.number > st.Revision {
+		st.Wanted, st.Behind = w.number, now.Sub(w.since)
+	}
+	return st
+}
+
 // behind reports whether a newer revision than the one in force is wanted.
 func (p *Plane) behind() bool {
 	w := p.wanted.Load()
@@ -111,7 +133,7 @@
 	w := p.wanted.Load()
 	vm := w.vm
 	if vm != "" {
-		p.wanted.CompareAndSwap(w, &wantedRevision{number: w.number}) // Retry with any holder.
+		p.wanted.CompareAndSwap(w, &wantedRevision{number: w.number, since: w.since}) // Retry with any holder.
 	} else {
 		holders := p.holders(w.number)
 		if len(holders) == 0 {
@@ -123,18 +145,23 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	query := &fleetpb.ReadState{Tables: true, Local: true, Have: current.GetNumber()}
+	asked := p.cfg.Clock.Now()
 	reply, err := p.callVM(ctx, vm, &fleetpb.Call{From: p.cfg.Settings.VM, Body: &fleetpb.Call_Read{Read: query}})
+	took := p.cfg.Clock.Now().Sub(asked)
 	if err != nil || reply.Code != fleetpb.Reply_OK {
-		p.log.Debug("failed to fetch tables", "vm", vm, "code", reply.GetCode(), "error", err)
+		p.log.Warn("failed to fetch tables", "vm", vm, "wanted", w.number, "tookMs", took, "code", reply.GetCode(), "error", err)
 		return false
 	}
+	if took >= slowFetch {
+		p.log.Warn("tables were fetched slowly", "vm", vm, "wanted", w.number, "tookMs", took)
+	}
 	rev, err := decodeNotice(current, reply.GetState())
 	if err != nil {
 		p.log.Warn("failed to decode fetched tables", "vm", vm, "error", err)
 		return false
 	}
 	if rev != nil {
-		p.install(rev)
+		p.install(rev, vm)
 		p.patches.put(reply.GetState())
 	}
 	return !p.behind()
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -158,7 +158,7 @@
 	detect := detector.New(detector.Config{Clock: r.clock, Catalog: r.catalog, Engines: r.upstreams, Prober: r.pool, Log: r.log, Go: func(task func()) { r.task("detector", task) }})
 	r.handler = forward.New(forward.Config{
 		Dialect: cfg.Dialect, DataCentre: s.DataCentre, Clock: r.clock, Source: rng.New(src.Uint64()), Catalog: r.catalog, Pool: r.pool,
-		Retries: cfg.Retries, Lenders: r.plane, VMs: r.vms, Ready: r.synced, Closing: r.draining.Load, OnStall: detect.CheckStall, OnSuspect: detect.Verify,
+		Retries: cfg.Retries, Lenders: r.plane, VMs: r.vms, Ready: r.synced, Tables: r.plane.TablesStatus, Closing: r.draining.Load, OnStall: detect.CheckStall, OnSuspect: detect.Verify,
 		Repath: r.upstreams.Repath, Quarantine: r.quarantine, Log: r.log, Metrics: r.tel.Metrics,
 	})
 	return r, nil
--- a/internal/request/forward/filters.go
+++ b/internal/request/forward/filters.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return refusal.New(refusal.NotReady, http.StatusServiceUnavailable, "the tables in force are not known yet").WithRetryAfter(notReadyRetryAfter).WithCause(err)
 	}
+	x.Forward.Tables = index
 	route, ok := index.Route(x.R.Host, x.R.URL.Path)
 	if !ok {
 		return refusal.New(refusal.UnknownRoute, http.StatusNotFound, "no route matches the host and path")
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/catchup"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
 	"github.com/jasminecove/jasminecove/internal/request/quarantine"
@@ -40,6 +41,8 @@
 	VMs func() int
 	// Ready returns the reason for which the VM accepts no requests, or nil.
 	Ready func() error
+	// Tables says how current the tables of this VM are.
+	Tables func() catchup.Status
 	// Closing reports whether callers' connections are to be closed after the response.
 	Closing func() bool
 	// OnStall is called with the first engine of a request that makes no progress. It
@@ -137,12 +140,14 @@
 	took := time.Since(x.Received)
 	h.metrics.record(x, took, err)
 	if err == nil {
-		h.cfg.Log.Decision("answered", x.ID, "route", a.Route, "pool", a.Pool, "organisation", x.Organisation,
+		h.cfg.Log.Decision("answered", x.ID, "route", a.Route, "pool", a.Pool, "organisation", x.Organisation, "revision", x.Forward.Tables.Revision(),
 			"status", a.Status, "outcome", x.Outcome, "firstMs", int64(a.FirstToken), "tookMs", took.Milliseconds(), "sends", len(a.Attempts),
 			"events", a.Events, "pauseMs", int64(a.Pause), "upstream", a.Path.First, "hops", a.Path.Hops, "estimateFirstMs", a.Path.FirstMs, "estimateTokenMs", a.Path.TokenMs)
 		return
 	}
+	st := h.cfg.Tables()
 	h.cfg.Log.Decision("failed", x.ID, "route", a.Route, "pool", a.Pool, "organisation", x.Organisation,
+		"revision", x.Forward.Tables.Revision(), "inForce", st.Revision, "inForceMs", st.Age, "wanted", st.Wanted, "behindMs", st.Behind,
 		"status", a.Status, "outcome", x.Outcome, "cause", err.Error(), "tookMs", took.Milliseconds(), "sends", len(a.Attempts),
 		"begun", a.Status != 0, "callerLeft", x.R.Context().Err() != nil, "promptParts", x.PromptParts, "fingerprints", x.Fingerprints)
 }
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/catchup"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
 	"github.com/jasminecove/jasminecove/internal/request/forward"
@@ -32,6 +33,7 @@
 
 // fixture is a Handler behind an HTTP server, with a catalog of test upstreams.
 type fixture struct {
+	tables    catchup.Status
 	suspected func(address, reason, requestID string)
 	stalled   func(ctx context.Context, id, address string)
 	lenders   forward.Lenders
@@ -73,6 +75,7 @@
 	cfg := forward.Config{
 		Dialect: forward.DefaultDialect(), DataCentre: "a", Clock: clk, Source: rng.New(1), Catalog: f.catalog, Pool: call.NewPool(),
 		VMs: func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return false },
+		Tables:  func() catchup.Status { return f.tables },
 		Metrics: tally.NoopScope, Quarantine: f.guard,
 		Repath: func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error {
 			if f.repath == nil {
--- a/internal/routing/lookup/lookup.go
+++ b/internal/routing/lookup/lookup.go
@@ -54,6 +54,14 @@
 // Document returns the tables that the index was built from.
 func (x *Index) Document() *tables.Document { return x.doc }
 
+// Revision returns the number under which the tables were committed, or 0 if there are none.
+func (x *Index) Revision() uint64 {
+	if x == nil {
+		return 0
+	}
+	return x.doc.Revision
+}
+
 // Route returns the route for a host whose path prefix is the longest that matches the
 // path. Prefixes end with a slash.
 func (x *Index) Route(host, path string) (*tables.Route, bool) {
