--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -337,3 +337,38 @@
 		seen[view] = incarnation
 	}
 }
+
+// TestRevisionPassesSilentVMs guards against a VM that does not learn of new tables because all VMs that have it
+// as a target are silent.
+func TestRevisionPassesSilentVMs(t *testing.T) {
+	const applyTimeout = 2 * clock.Second
+	for _, seed := range seeded.Seeds(t, 3) {
+		f := newFleet(seed, 30+rng.New(seed).IntN(60), 3, lan)
+		f.awaitAgreement(t, 20*clock.Second)
+		f.advance(10 * clock.Second) // The targets settle.
+		victim, silent := "", f.names
+		for _, vm := range f.names {
+			sources := slices.DeleteFunc(slices.Clone(f.names), func(other string) bool { return !f.cores[other].IsTarget(vm) })
+			if len(sources) < len(silent) {
+				victim, silent = vm, sources
+			}
+		}
+		for _, a := range silent {
+			for _, b := range f.names {
+				f.net.Cut(a, b)
+				f.net.Cut(b, a)
+			}
+		}
+		f.advance(clock.Duration(f.src.IntN(1000)))
+		first := slices.IndexFunc(f.names, func(vm string) bool { return vm != victim && !slices.Contains(silent, vm) })
+		f.apply(f.names[first], f.cores[f.names[first]].Update(f.now, gossip.RevisionMsg{Revision: 7}))
+		revision := func(vm string) uint64 { m, _ := f.cores[vm].Member(vm); return m.Revision }
+		started := f.now
+		for revision(victim) < 7 && f.now.Sub(started) < 10*clock.Second {
+			f.advance(20)
+		}
+		took := f.now.Sub(started)
+		assert.Assert(t, took < applyTimeout, "seed %d, %d VMs: %s, whose only sources %v are silent, learns the revision after %s", seed, len(f.names), victim, silent, took)
+		t.Logf("%d VMs, %d silent sources: %s", len(f.names), len(silent), took)
+	}
+}
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -33,7 +33,8 @@
 
 // fixture is a Handler behind an HTTP server, with a catalog of test upstreams.
 type fixture struct {
-	tables    catchup.Status
+	wanted    uint64 // Newest revision known to be committed.
+	closing   bool
 	suspected func(address, reason, requestID string)
 	stalled   func(ctx context.Context, id, address string)
 	lenders   forward.Lenders
@@ -74,8 +75,10 @@
 	f.guard = quarantine.NewGuard(clk, (*decision.Log)(nil), tally.NoopScope)
 	cfg := forward.Config{
 		Dialect: forward.DefaultDialect(), DataCentre: "a", Clock: clk, Source: rng.New(1), Catalog: f.catalog, Pool: call.NewPool(),
-		VMs: func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return false },
-		Tables:  func() catchup.Status { return f.tables },
+		VMs: func() int { return 1 }, Ready: func() error { return f.ready }, Closing: func() bool { return f.closing },
+		Tables: func() catchup.Status {
+			return catchup.Status{Revision: f.catalog.Tables().Revision(), Wanted: f.wanted}
+		},
 		Metrics: tally.NoopScope, Quarantine: f.guard,
 		Repath: func(ctx context.Context, engine, address, requestID string, hops []chain.Hop) error {
 			if f.repath == nil {
