Ask another VM for the tables while the first does not answer

What callers saw: 404 as an older version says, after the bound, on a VM that nothing had disturbed.

Cause: a VM asked one other for newer tables and waited for up to 2 s, which is the whole bound; the next one was drawn at random, so silent and slow VMs could follow each other. A call waits as long for a connection that is being opened.

Change: package control/catchup decides whom to ask. A VM that has not answered within 100 ms is not waited for: another one is asked beside it, first those that have the revision and were not late. An attempt ends after 1 s. Adopt waits for up to 300 ms until the tables are in force on the VM that acknowledges them, which asks the leader first. The read of the current number at a start no longer holds up fetches.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -99,6 +99,9 @@
 	return c.wake, c.elected
 }
 
+// Leader returns the VM that replied as the leader last, or "" if it is not known.
+func (c *Client) Leader() string { return c.leaderHint.Load().(string) }
+
 // Propose commits a command.
 func (c *Client) Propose(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.Result, error) {
 	cmd.AtMs = int64(c.clock.Now())
--- a/internal/node/controlplane/adopt.go
+++ b/internal/node/controlplane/adopt.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
+// adoptedWait is how long the acknowledgement of committed tables waits at most until they are in force on this
+// VM. They are fetched in any case.
+const adoptedWait = 300 * time.Millisecond
+
 // Adopt commits tables under a revision number chosen by the operator. The highest number
 // is in force; a lower or equal one changes nothing. For an invalid document Adopt returns
 // the error of Config.Parse. After any other error the tables may or may not be committed.
@@ -21,7 +26,10 @@
 	if err != nil {
 		return 0, err
 	}
-	p.wantRevision(result.Revision, "")
+	// The operator's next request may come to this VM.
+	ctx, cancel := context.WithTimeout(ctx, adoptedWait)
+	defer cancel()
+	_ = p.awaitRevision(ctx, result.Revision)
 	return result.Revision, nil
 }
 
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -17,6 +17,7 @@
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/catchup"
 	"github.com/jasminecove/jasminecove/internal/control/client"
 	"github.com/jasminecove/jasminecove/internal/control/founding"
 	"github.com/jasminecove/jasminecove/internal/control/journal"
@@ -53,8 +54,10 @@
 	demandInterval     = 1 * time.Second
 	fetchRetryDelay    = 50 * time.Millisecond
 	callTimeout        = 2 * time.Second
-	// slowFetch is how long a fetch of the tables takes at least to be logged as slow.
-	slowFetch = 100 * clock.Millisecond
+	// confirmRetryDelay is the delay between two reads of the current revision at a start.
+	confirmRetryDelay = 50 * time.Millisecond
+	// installPollInterval is the interval at which an awaited revision is checked.
+	installPollInterval = 5 * time.Millisecond
 	// reopenDelay is the delay before the data folder is opened again after a disk failure. After panics it
 	// grows from minReloadDelay to maxReloadDelay.
 	reopenDelay    = 1 * time.Second
@@ -143,14 +146,13 @@
 	// gossipQueued is signalled when gossip updates wait to be sent; capacity 1.
 	gossipQueued chan struct{}
 
-	current atomic.Pointer[fleetpb.Revision]
-	// currentSince is the clock.Time at which current came into force.
-	currentSince atomic.Int64
-	installMu    sync.Mutex
-	patches      patchCache
-	wanted       atomic.Pointer[wantedRevision]
-	wake         chan struct{}
-	founding     *founding.Founding
+	current   atomic.Pointer[fleetpb.Revision]
+	installMu sync.Mutex
+	patches   patchCache
+	catchupMu sync.Mutex
+	catchup   *catchup.Core // Guarded by catchupMu.
+	wake      chan struct{} // Signalled when a VM may have to be asked for the tables; capacity 1.
+	founding  *founding.Founding
 	// seeds are those of the settings, and storedSeeds those on disk. Guarded by mu.
 	seeds, storedSeeds []string
 	confirmed          atomic.Bool // The revision that the quorum named at the start is in force.
@@ -170,17 +172,11 @@
 	failed    chan error
 }
 
-// wantedRevision is a newer revision to fetch. The VM is empty if any holder will do.
-type wantedRevision struct {
-	number uint64
-	vm     string
-	since  clock.Time // Since when a newer revision than the one in force is known.
-}
-
 // New creates a Plane. Start runs it.
 func New(cfg Config) (*Plane, error) {
 	p := &Plane{cfg: cfg, log: cfg.Log.Named("control"), memory: journal.Memory(), wake: make(chan struct{}, 1), gossipQueued: make(chan struct{}, 1), failed: make(chan error, 1)}
 	p.demand = newDemandAggregator(cfg.Clock)
+	p.catchup = catchup.New(rng.New(cfg.Source.Uint64()))
 	p.loads = loads{collector: loadsum.New(cfg.Settings.DataCentre), avoidUntil: map[string]clock.Time{}}
 	p.founding = founding.New(p.foundingConfig(), cfg.Clock.Now())
 	if p.cfg.Parse == nil {
@@ -223,7 +219,9 @@
 	if p.cfg.Parts != nil && p.transport != nil {
 		p.task("parts", func() { p.partsLoop(ctx) })
 	}
+	p.task("first upstreams", func() { p.syncUpstreams(ctx) })
 	p.task("tables", func() { p.fetchLoop(ctx) })
+	p.task("confirmation of the tables", func() { p.confirmLoop(ctx) })
 	if p.transport != nil {
 		p.task("demand", func() { p.demandLoop(ctx) })
 	}
--- a/internal/node/controlplane/plane_test.go
+++ b/internal/node/controlplane/plane_test.go
@@ -184,7 +184,7 @@
 	p.update(peer(7, &fleetpb.Member{Vm: "c", Address: "c:1"}))
 	assert.Equal(t, crash.Contained(), before+3)
 	assert.Equal(t, p.LiveVMs(), 3)
-	assert.Equal(t, p.wanted.Load().number, uint64(7))
+	assert.Equal(t, p.TablesStatus().Wanted, uint64(7))
 	assert.Equal(t, len(p.targets()), 0)
 	p.update(gossip.TickMsg{})
 	assert.Equal(t, len(p.targets()), 2)
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/control/catchup"
@@ -30,6 +32,7 @@
 	switch {
 	case doc == nil:
 		p.log.Error("failed to parse committed tables", "revision", rev.Number, "error", err)
+		p.recordInForce(rev.Number)
 		return
 	case err != nil:
 		// An earlier version accepted them by its own rules, and accepted tables stay in force.
@@ -37,154 +40,162 @@
 	}
 	p.cfg.Directory.SetTables(doc.WithRevision(rev.Number))
 	p.patches.add(current, rev)
-	behind := p.TablesStatus().Behind
 	p.current.Store(rev)
-	p.currentSince.Store(int64(p.cfg.Clock.Now()))
-	p.log.Info("tables in force", "revision", rev.Number, "author", rev.Author, "from", source, "behindMs", behind)
+	p.log.Info("tables in force", "revision", rev.Number, "author", rev.Author, "from", source, "behindMs", p.recordInForce(rev.Number))
 	p.update(gossip.RevisionMsg{Revision: rev.Number})
 }
 
-// wantRevision records that another VM has a newer revision in force or, without a VM, that
-// the quorum has committed it. The highest number stays wanted until it is in force here.
+// wantRevision records that a revision is committed. vm is a VM that has it in force, or "" if none is known.
 func (p *Plane) wantRevision(number uint64, vm string) {
-	next := &wantedRevision{number: number, vm: vm, since: p.cfg.Clock.Now()}
-	for {
-		was := p.wanted.Load()
-		if was != nil && was.number >= number {
-			break
-		}
-		if was != nil && was.number > p.Current().GetNumber() {
-			next.since = was.since
-		}
-		if p.wanted.CompareAndSwap(was, next) {
-			break
-		}
-	}
+	defer p.wakeFetch()
+	p.catchupMu.Lock()
+	defer p.catchupMu.Unlock()
+	p.catchup.Want(p.cfg.Clock.Now(), number, vm)
+}
+
+func (p *Plane) wakeFetch() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
-// fetchLoop first reads the current revision number from the quorum, and then fetches newer
-// revisions from the VMs that have them in force.
+// fetchLoop fetches newer revisions from the VMs that have them in force.
 func (p *Plane) fetchLoop(ctx context.Context) {
-	p.task("first upstreams", func() { p.syncUpstreams(ctx) })
-	for ctx.Err() == nil && !p.syncTables(ctx) {
-		_ = delay.Wait(ctx, fetchRetryDelay)
-	}
-	for ctx.Err() == nil {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.wake:
+		case <-timer.C:
 		}
-		for ctx.Err() == nil && p.behind() && !p.fetch(ctx) {
-			_ = delay.Wait(ctx, fetchRetryDelay)
+		for {
+			vm, wait := p.nextSource()
+			if vm != "" {
+				crash.Go("fetch of tables", func() { p.fetch(ctx, vm) })
+				continue
+			}
+			if wait > 0 {
+				timer.Reset(wait.Std())
+			}
+			break
 		}
 	}
 }
 
-// syncTables reads the number of the current tables from the quorum and fetches them. A VM
-// is ready only after that, so that it never serves outdated tables after a restart.
-func (p *Plane) syncTables(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := p.client.Read(ctx, &fleetpb.ReadState{Tables: true, NumberOnly: true})
-	if err != nil {
-		return false
-	}
-	p.wantRevision(reply.GetState().GetNumber(), "")
-	for p.behind() && !p.fetch(ctx) {
-		if delay.Wait(ctx, fetchRetryDelay) != nil {
-			return false
-		}
+// nextSource returns the VM to ask for the tables now, or the time until the next one is to be asked.
+func (p *Plane) nextSource() (vm string, wait clock.Duration) {
+	p.catchupMu.Lock()
+	defer p.catchupMu.Unlock()
+	st := p.catchup.Status(p.cfg.Clock.Now())
+	if !st.IsBehind() {
+		return "", 0
 	}
-	p.stampedAt.Store(int64(p.cfg.Clock.Now()))
-	p.confirmed.Store(true)
-	p.log.Info("fetched the current tables", "revision", p.Current().GetNumber())
-	return true
+	return p.catchup.Next(p.cfg.Clock.Now(), p.sources(st.Wanted))
 }
 
-// TablesStatus says how current the tables of this VM are.
-func (p *Plane) TablesStatus() catchup.Status {
-	now := p.cfg.Clock.Now()
-	st := catchup.Status{Revision: p.Current().GetNumber()}
-	st.Wanted = st.Revision
-	if st.Revision > 0 {
-		st.Age = now.Sub(clock.Time(p.currentSince.Load()))
-	}
-	if w := p.wanted.Load(); w != nil && w.number > st.Revision {
-		st.Wanted, st.Behind = w.number, now.Sub(w.since)
+// sources returns the live VMs that may have a revision in force: those of which it is known, and the gossip
+// targets.
+func (p *Plane) sources(number uint64) []catchup.Source {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []catchup.Source
+	for _, m := range p.gossip.Live() {
+		if m.Vm != p.cfg.Settings.VM && (m.Revision >= number || p.gossip.IsTarget(m.Vm)) {
+			out = append(out, catchup.Source{VM: m.Vm, Revision: m.Revision})
+		}
 	}
-	return st
-}
-
-// behind reports whether a newer revision than the one in force is wanted.
-func (p *Plane) behind() bool {
-	w := p.wanted.Load()
-	return w != nil && w.number > p.Current().GetNumber()
+	return out
 }
 
-// fetch fetches the wanted revision: first from the VM that reported it, and after that from
-// a random VM that has it in force, which spreads the load when many VMs need it at once. It
-// reports whether the wanted revision is in force here.
-func (p *Plane) fetch(ctx context.Context) bool {
-	w := p.wanted.Load()
-	vm := w.vm
-	if vm != "" {
-		p.wanted.CompareAndSwap(w, &wantedRevision{number: w.number, since: w.since}) // Retry with any holder.
-	} else {
-		holders := p.holders(w.number)
-		if len(holders) == 0 {
-			return false
-		}
-		vm = holders[p.random(len(holders))]
-	}
-	current := p.Current()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// fetch asks a VM for the tables and puts them in force.
+func (p *Plane) fetch(ctx context.Context, vm string) {
+	ok := false
+	defer func() { p.recordAnswer(vm, ok) }()
+	ctx, cancel := context.WithTimeout(ctx, catchup.AttemptTimeout.Std())
 	defer cancel()
+	asked, current, wanted := p.cfg.Clock.Now(), p.Current(), p.TablesStatus().Wanted
 	query := &fleetpb.ReadState{Tables: true, Local: true, Have: current.GetNumber()}
-	asked := p.cfg.Clock.Now()
 	reply, err := p.callVM(ctx, vm, &fleetpb.Call{From: p.cfg.Settings.VM, Body: &fleetpb.Call_Read{Read: query}})
 	took := p.cfg.Clock.Now().Sub(asked)
 	if err != nil || reply.Code != fleetpb.Reply_OK {
-		p.log.Warn("failed to fetch tables", "vm", vm, "wanted", w.number, "tookMs", took, "code", reply.GetCode(), "error", err)
-		return false
+		p.log.Warn("failed to fetch tables", "vm", vm, "wanted", wanted, "tookMs", took, "code", reply.GetCode(), "error", err)
+		return
 	}
-	if took >= slowFetch {
-		p.log.Warn("tables were fetched slowly", "vm", vm, "wanted", w.number, "tookMs", took)
+	if took >= catchup.HedgeDelay {
+		p.log.Warn("tables were fetched slowly", "vm", vm, "wanted", wanted, "tookMs", took)
 	}
 	rev, err := decodeNotice(current, reply.GetState())
 	if err != nil {
 		p.log.Warn("failed to decode fetched tables", "vm", vm, "error", err)
-		return false
+		return
 	}
 	if rev != nil {
 		p.install(rev, vm)
 		p.patches.put(reply.GetState())
 	}
-	return !p.behind()
+	ok = rev.GetNumber() >= wanted
 }
 
-// holders returns the other live VMs that have a revision, or a newer one, in force.
-func (p *Plane) holders(number uint64) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []string
-	for _, m := range p.gossip.Live() {
-		if m.Revision >= number && m.Vm != p.cfg.Settings.VM {
-			out = append(out, m.Vm)
+// recordAnswer records the end of an attempt to fetch the tables.
+func (p *Plane) recordAnswer(vm string, ok bool) {
+	defer p.wakeFetch()
+	p.catchupMu.Lock()
+	defer p.catchupMu.Unlock()
+	p.catchup.Answered(p.cfg.Clock.Now(), vm, ok)
+}
+
+// confirmLoop reads the number of the current tables from the quorum, and waits until they are in force. A VM
+// is ready only after that, so that it never serves outdated tables after a restart.
+func (p *Plane) confirmLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		number, err := p.readCurrentNumber(ctx)
+		if err == nil && p.awaitRevision(ctx, number) == nil {
+			p.stampedAt.Store(int64(p.cfg.Clock.Now()))
+			p.confirmed.Store(true)
+			p.log.Info("fetched the current tables", "revision", p.Current().GetNumber())
+			return
 		}
+		_ = delay.Wait(ctx, confirmRetryDelay)
 	}
-	return out
 }
 
-// random returns a number below n.
-func (p *Plane) random(n int) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cfg.Source.IntN(n)
+// readCurrentNumber reads the number of the newest committed revision from the quorum.
+func (p *Plane) readCurrentNumber(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := p.client.Read(ctx, &fleetpb.ReadState{Tables: true, NumberOnly: true})
+	return reply.GetState().GetNumber(), err
+}
+
+// awaitRevision fetches a committed revision and returns once it is in force.
+func (p *Plane) awaitRevision(ctx context.Context, number uint64) error {
+	p.wantRevision(number, p.client.Leader())
+	for p.Current().GetNumber() < number {
+		if err := delay.Wait(ctx, installPollInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TablesStatus says how current the tables of this VM are.
+func (p *Plane) TablesStatus() catchup.Status {
+	p.catchupMu.Lock()
+	defer p.catchupMu.Unlock()
+	return p.catchup.Status(p.cfg.Clock.Now())
+}
+
+// recordInForce records that a revision is in force, or can never be, and returns how long it was awaited.
+func (p *Plane) recordInForce(number uint64) (behind clock.Duration) {
+	p.catchupMu.Lock()
+	defer p.catchupMu.Unlock()
+	now := p.cfg.Clock.Now()
+	behind = p.catchup.Status(now).Behind
+	p.catchup.InForce(now, number)
+	return behind
 }
 
 // decodeNotice returns the revision of a notice, whose document may be a patch, or nil if
