Tell a VM of newer tables that sends a heartbeat with an older number

What callers saw: nothing shown; found by looking for the cause of the late tables elsewhere.

Cause: on fleets of more than 12 VMs a VM learns a revision only from those that have it as a target, two or three VMs on the unluckiest one. While these are silent it learns nothing until they are declared dead, 8 s.

Change: a heartbeat with an older revision is answered with the newer one, once it has had 300 ms to cross the fleet. Lost VMs and seeds are contacted in turn, and each 200 ms for the first 25 times while no other live VM is known.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -49,8 +49,14 @@
 	// upstreamsDifferPeriod is how long another VM's upstreams must have differed before they
 	// are compared: longer than an update takes to cross the fleet.
 	upstreamsDifferPeriod = 900 * clock.Millisecond
-	// reconnectInterval is the interval between attempts to reach a dead VM or a seed.
-	reconnectInterval = 1 * clock.Second
+	// reconnectInterval is the interval between attempts to reach a dead VM or a seed. While this VM knows no
+	// other live one, the first urgentReconnects attempts follow each other faster.
+	reconnectInterval       = 1 * clock.Second
+	urgentReconnectInterval = 200 * clock.Millisecond
+	urgentReconnects        = 25
+	// floodTime is how long a revision takes at most to cross the fleet. A VM that does not have it after that
+	// is told again.
+	floodTime = 300 * clock.Millisecond
 	// deadRetention is how long a dead VM is remembered and contacted again.
 	deadRetention = 2 * clock.Hour
 )
@@ -91,6 +97,9 @@
 	sequence      uint64
 	syncedAt      clock.Time
 	reconnectedAt clock.Time
+	reconnects    int        // Attempts to reach a dead VM or a seed.
+	aloneFor      int        // Such attempts since another live VM was known.
+	revisedAt     clock.Time // When the revision of this VM last changed.
 	left          bool
 	view          uint64            // Hash of the live VMs and their incarnations.
 	members, live []*fleetpb.Member // Results of Members and Live; nil after a change.
@@ -110,7 +119,7 @@
 		self: proto.CloneOf(self), src: src, seeds: seeds,
 		entries: map[string]*entry{}, targets: map[string]*target{},
 		pending: map[string]bool{}, except: map[string]string{}, suspects: map[string]bool{}, interval: fastInterval,
-		differSince: map[string]clock.Time{},
+		differSince: map[string]clock.Time{}, reconnects: src.IntN(maxFullMesh),
 	}
 	e := &entry{}
 	c.entries[self.Vm] = e
@@ -129,7 +138,7 @@
 	case DigestsMsg:
 		c.addDigests(m)
 	case RevisionMsg:
-		c.setRevision(m.Revision)
+		c.setRevision(now, m.Revision)
 	case DrainMsg:
 		c.changeSelf(func(s *fleetpb.Member) { s.Draining = m.Draining })
 	case ActivityMsg:
@@ -243,7 +252,7 @@
 // reconnect requests the view of a dead VM or a seed, so that the parts of the fleet join
 // again after a network partition.
 func (c *Core) reconnect(now clock.Time) {
-	if now.Sub(c.reconnectedAt) < reconnectInterval {
+	if now.Sub(c.reconnectedAt) < c.reconnectDelay() {
 		return
 	}
 	c.reconnectedAt = now
@@ -263,8 +272,22 @@
 		}
 	}
 	if len(unreached) > 0 {
-		c.sync(unreached[c.src.IntN(len(unreached))], fleetpb.GossipMessage_SYNC)
+		// In turn, so that a silent one is not drawn again and again.
+		c.sync(unreached[c.reconnects%len(unreached)], fleetpb.GossipMessage_SYNC)
+		c.reconnects++
 	}
+	c.aloneFor++
+	if len(liveAddresses) > 1 {
+		c.aloneFor = 0
+	}
+}
+
+// reconnectDelay returns the time from one attempt to reach a dead VM or a seed to the next.
+func (c *Core) reconnectDelay() clock.Duration {
+	if c.aloneFor > 0 && c.aloneFor < urgentReconnects {
+		return urgentReconnectInterval
+	}
+	return reconnectInterval
 }
 
 // sync sends the whole view.
@@ -291,6 +314,7 @@
 		c.sync(m.FromAddress, fleetpb.GossipMessage_SYNC_REPLY)
 	case fleetpb.GossipMessage_HEARTBEAT:
 		c.compareUpstreams(now, m)
+		c.tellRevision(now, m)
 	}
 	if m.View != 0 && m.View != c.view && now.Sub(c.syncedAt) >= minSyncInterval {
 		c.syncedAt = now
@@ -298,6 +322,13 @@
 	}
 }
 
+// tellRevision answers a heartbeat of a VM that has older tables. The VMs that have it as a target may be silent.
+func (c *Core) tellRevision(now clock.Time, m *fleetpb.GossipMessage) {
+	if m.Revision < c.self.Revision && now.Sub(c.revisedAt) >= floodTime {
+		c.send(m.FromAddress, &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_SYNC_REPLY})
+	}
+}
+
 // compareUpstreams requests a comparison of the upstreams with a VM that has known others for
 // some time, because one of both VMs has missed an update.
 func (c *Core) compareUpstreams(now clock.Time, m *fleetpb.GossipMessage) {
@@ -346,10 +377,11 @@
 	return true
 }
 
-func (c *Core) setRevision(revision uint64) {
+func (c *Core) setRevision(now clock.Time, revision uint64) {
 	if revision <= c.self.Revision {
 		return
 	}
+	c.revisedAt = now
 	c.revision = max(c.revision, revision)
 	c.self = proto.CloneOf(c.self)
 	c.self.Revision = revision
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -372,3 +372,16 @@
 		t.Logf("%d VMs, %d silent sources: %s", len(f.names), len(silent), took)
 	}
 }
+
+// TestStartBesideSilentSeed guards against a VM that starts and contacts the same silent seed again and again.
+func TestStartBesideSilentSeed(t *testing.T) {
+	for _, seed := range seeded.Seeds(t, 20) {
+		f := newFleet(seed, 9, 3, lan)
+		f.awaitAgreement(t, 10*clock.Second)
+		f.cores["vm000"] = nil
+		f.names = append(f.names, "new")
+		f.start("new", "dc1")
+		f.advance(500)
+		assert.Assert(t, len(f.cores["new"].Live()) > 1, "seed %d: the VM that has started knows no other one", seed)
+	}
+}
