Refuse no request by tables that the VM knows to be outdated

What callers saw: 404, or 401, by tables of which the VM knew that newer ones were committed, and by those that a VM had before its start when it was stopped before it was synchronised.

Cause: a refusal asked the tables in force only. A stopping VM counted any tables as good.

A stopping VM whose tables are not confirmed answers 503. Requests that the older tables admit do not wait.

--- a/internal/request/forward/errors.go
+++ b/internal/request/forward/errors.go
@@ -5,6 +5,7 @@
 // Causes of a failed attempt or response.
 const (
 	errNoTables          = fault.Sentinel("forward: routing tables not loaded yet")
+	errOutdated          = fault.Sentinel("forward: newer routing tables are committed and not loaded yet")
 	errRetryLimit        = fault.Sentinel("forward: retry limit of the pool reached")
 	errResponseTooLarge  = fault.Sentinel("forward: response exceeds the maximum size")
 	errNoIntegrity       = fault.Sentinel("forward: response has no integrity header")
--- a/internal/request/forward/filters.go
+++ b/internal/request/forward/filters.go
@@ -37,7 +37,7 @@
 
 // Serve implements exchange.Filter.
 func (f *routeFilter) Serve(ctx context.Context, x *exchange.Exchange, next exchange.Handler) error {
-	index, err := f.tables(ctx)
+	index, err := f.tables(ctx, x.R)
 	if err != nil {
 		return refusal.New(refusal.NotReady, http.StatusServiceUnavailable, "the tables in force are not known yet").WithRetryAfter(notReadyRetryAfter).WithCause(err)
 	}
@@ -65,16 +65,21 @@
 	return next(ctx, x)
 }
 
-// tables returns the active tables. A newly started process receives them shortly, so it
-// waits up to tablesTimeout for them.
-func (f *routeFilter) tables(ctx context.Context) (*lookup.Index, error) {
+// tables returns the tables by which a request is handled. A process that has just started receives them
+// shortly, so the request waits up to tablesTimeout for them. So does one that would be refused by tables of
+// which this VM knows that newer ones are committed.
+func (f *routeFilter) tables(ctx context.Context, r *http.Request) (*lookup.Index, error) {
 	for waited := time.Duration(0); ; waited += tablesPollInterval {
-		index, err := f.h.cfg.Catalog.Tables(), f.h.cfg.Ready()
-		if index != nil && (err == nil || f.h.cfg.Closing()) {
-			return index, nil
-		}
-		if err == nil {
+		behind, err := f.h.cfg.Tables().IsBehind(), f.h.cfg.Ready()
+		index := f.h.cfg.Catalog.Tables()
+		switch {
+		case err != nil:
+		case index == nil:
 			err = errNoTables
+		case !behind || f.h.admits(index, r):
+			return index, nil
+		default:
+			err = errOutdated
 		}
 		if waited >= tablesTimeout || f.h.cfg.Closing() {
 			return nil, err
@@ -85,6 +90,16 @@
 	}
 }
 
+// admits reports whether tables have a route for a request, and know its key if the route needs one.
+func (h *Handler) admits(index *lookup.Index, r *http.Request) bool {
+	route, ok := index.Route(r.Host, r.URL.Path)
+	if !ok {
+		return false
+	}
+	_, known := index.Organisation(h.cfg.Dialect.key(r.Header))
+	return known || !index.RequiresKey() || route.Anonymous
+}
+
 // organisationFilter determines the organisation from the request's key.
 type organisationFilter struct{ h *Handler }
 
