Try another replica while the first does not reply

A change, or the read of a VM that starts, fails with "no leader replied before the deadline".

Cause: the client of the control state waited for 1 s for the first replica that it tried, in the same order each time; the platform gives such a call 0.9 s. A replica that is stalled but alive used up every call that had no leader to go to.

Change: after 200 ms without a reply another replica is tried beside the first. Commands are idempotent already.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -15,14 +15,12 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
-	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/base/delay"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 	"github.com/jasminecove/jasminecove/internal/control/replica"
 	"github.com/jasminecove/jasminecove/internal/control/state"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
-	"github.com/jasminecove/jasminecove/internal/wire/framing"
 )
 
 // ErrUnavailable reports that no leader replied before the deadline.
@@ -32,7 +30,9 @@
 const (
 	// attemptTimeout bounds one attempt, so that the call moves on from an unreachable
 	// VM to another.
-	attemptTimeout    = 1 * time.Second
+	attemptTimeout = 1 * time.Second
+	// hedgeDelay is how long a VM is given to reply before another one is tried beside it.
+	hedgeDelay        = 200 * time.Millisecond
 	initialRetryDelay = 5 * time.Millisecond
 	maxRetryDelay     = 200 * time.Millisecond
 	// DefaultTimeout bounds a call whose context has no deadline.
@@ -156,84 +156,6 @@
 	return known && (gone || strconv.FormatUint(boot, 10) != number)
 }
 
-// call tries VMs until the leader has replied or the deadline has passed.
-func (c *Client) call(ctx context.Context, call *fleetpb.Call) (*fleetpb.Reply, error) {
-	if _, ok := ctx.Deadline(); !ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
-		defer cancel()
-	}
-	wait := initialRetryDelay
-	var last error
-	position := 0
-	silent := map[string]bool{} // VMs that did not reply. Replicas may still name them as the leader.
-	for try := 0; ; try++ {
-		retry, elected := c.signals()
-		vm := c.chooseVM(&position)
-		reply, err := c.attempt(ctx, vm, call, elected)
-		switch {
-		case err == nil && reply.Code == fleetpb.Reply_OK:
-			c.leaderHint.Store(vm)
-			return reply, nil
-		case err == nil && reply.Code == fleetpb.Reply_REFUSED:
-			return nil, &RefusedError{Detail: reply.Detail}
-		case framing.IsUnsendable(err):
-			return nil, &RefusedError{Detail: err.Error()}
-		case err == nil && reply.Code == fleetpb.Reply_NOT_LEADER && reply.Leader != "" && reply.Leader != vm && !silent[reply.Leader]:
-			c.leaderHint.Store(reply.Leader)
-			if try%2 == 0 {
-				continue
-			}
-		default:
-			c.leaderHint.Store("")
-		}
-		if err != nil {
-			last, silent[vm] = err, true
-		}
-		select {
-		case <-ctx.Done():
-			return nil, errors.Join(ErrUnavailable, last)
-		case <-retry:
-			wait = initialRetryDelay
-		case <-time.After(wait):
-			wait = min(maxRetryDelay, wait*2)
-		}
-	}
-}
-
-// chooseVM returns the VM to try: the presumed leader if there is one, and otherwise
-// the VMs with a replica in round-robin order. Attempts at a presumed leader do not
-// advance the round-robin order, so that no replica is skipped.
-func (c *Client) chooseVM(position *int) string {
-	if hint := c.leaderHint.Load().(string); hint != "" {
-		return hint
-	}
-	vms := c.fleet.Replicas()
-	if len(vms) == 0 {
-		return c.vm
-	}
-	*position++
-	return vms[*position%len(vms)]
-}
-
-// attempt sends the call to a VM. It ends at once if a leader is elected meanwhile.
-func (c *Client) attempt(ctx context.Context, vm string, call *fleetpb.Call, elected <-chan struct{}) (*fleetpb.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	if vm == c.vm {
-		return Serve(ctx, c.local(), call), nil
-	}
-	go func() {
-		defer crash.Recover("leader election of a call")
-		select {
-		case <-elected:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return c.fleet.Call(ctx, vm, call)
-}
-
 // RefusedError reports a call that the leader refused.
 type RefusedError struct {
 	Detail string
