Fetch the first upstreams from another VM when one does not answer

Cause: the VMs were asked one after the other, each for as long as the whole time of the task.

Change: the calls that Confirm makes, with another VM beside one that does not answer within 100 ms, are a function of their own; the first upstreams are fetched by it.

--- a/internal/node/controlplane/confirm.go
+++ b/internal/node/controlplane/confirm.go
@@ -3,17 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
-	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/fleet/gossip"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
-// confirmHedgeInterval is the interval at which further VMs are asked while those asked so far have
-// not confirmed a change.
-const confirmHedgeInterval = 100 * time.Millisecond
-
 // Confirm returns once enough other VMs have recorded the state of an upstream that it is known after
 // the loss of this VM and of as many others as the settings tolerate. It fails with
 // ErrUnconfirmed when ctx ends before. A nil digest stands for the end of an upstream that this
@@ -24,50 +18,23 @@
 		c = &fleetpb.Confirm{Digests: []*fleetpb.Digest{digest}}
 	}
 	candidates, needed := p.confirmers()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	replies := make(chan error, len(candidates))
-	pending := 0
-	ask := func() {
+	next := func() string {
 		if len(candidates) == 0 {
-			return
+			return ""
 		}
 		vm := candidates[0]
 		candidates = candidates[1:]
-		pending++
-		go func() {
-			defer crash.Recover("confirm call")
-			err := error(ErrUnconfirmed)
-			defer func() { replies <- err }()
-			var reply *fleetpb.Reply
-			reply, err = p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Confirm{Confirm: c}})
-			if err == nil && reply.Code != fleetpb.Reply_OK {
-				err = fmt.Errorf("%s: %w: %s", vm, ErrUnconfirmed, reply.Detail)
-			}
-		}()
-	}
-	for range needed {
-		ask()
+		return vm
 	}
-	hedge := time.NewTicker(confirmHedgeInterval)
-	defer hedge.Stop()
-	for needed > 0 {
-		select {
-		case err := <-replies:
-			pending--
-			if err == nil {
-				needed--
-				continue
-			}
-			ask()
-			if pending == 0 {
-				return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
-			}
-		case <-hedge.C:
-			ask()
-		case <-ctx.Done():
-			return fmt.Errorf("%w: %w", ErrUnconfirmed, context.Cause(ctx))
+	err := p.callSeveral(ctx, needed, next, func(ctx context.Context, vm string) error {
+		reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Confirm{Confirm: c}})
+		if err == nil && reply.Code != fleetpb.Reply_OK {
+			err = fmt.Errorf("%s: %w: %s", vm, ErrUnconfirmed, reply.Detail)
 		}
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
 	}
 	return nil
 }
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -193,24 +193,34 @@
 	ctx, cancel := context.WithTimeout(ctx, initialSyncTimeout)
 	defer cancel()
 	asked := map[string]bool{p.cfg.Settings.VM: true}
-	for ctx.Err() == nil && len(asked) <= initialSyncVMs {
+	next := func() string {
 		for _, vm := range p.liveVMs() {
-			if asked[vm] || len(asked) > initialSyncVMs {
-				continue
-			}
-			asked[vm] = true
-			reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Upstreams{Upstreams: &fleetpb.Upstreams{All: true}}})
-			if err != nil {
-				p.log.Debug("failed to fetch upstreams", "vm", vm, "error", err)
-				continue
-			}
-			p.cfg.Directory.TakeDigests(reply.Digests)
-			if p.cfg.Parts != nil {
-				p.cfg.Parts.Merge(vm, reply.Parts)
+			if !asked[vm] {
+				asked[vm] = true
+				return vm
 			}
 		}
-		_ = delay.Wait(ctx, fetchRetryDelay)
+		return ""
+	}
+	for answers := 0; answers < initialSyncVMs && delay.Wait(ctx, fetchRetryDelay) == nil; {
+		if p.callSeveral(ctx, 1, next, p.fetchAllUpstreams) == nil {
+			answers++
+		}
+	}
+}
+
+// fetchAllUpstreams fetches all upstreams, and what is known of prompt parts, from a VM.
+func (p *Plane) fetchAllUpstreams(ctx context.Context, vm string) error {
+	reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Upstreams{Upstreams: &fleetpb.Upstreams{All: true}}})
+	if err != nil {
+		p.log.Debug("failed to fetch upstreams", "vm", vm, "error", err)
+		return err
+	}
+	p.cfg.Directory.TakeDigests(reply.Digests)
+	if p.cfg.Parts != nil {
+		p.cfg.Parts.Merge(vm, reply.Parts)
 	}
+	return nil
 }
 
 // fetchUpstreams fetches the upstreams of some homes from a VM.
--- a/internal/node/controlplane/plane.go
+++ b/internal/node/controlplane/plane.go
@@ -39,6 +39,7 @@
 	ErrNotSynced        = fault.Sentinel("controlplane: the present tables are not known yet")
 	ErrBaseMismatch     = fault.Sentinel("controlplane: the tables are a patch to a different base revision")
 	ErrUnconfirmed      = fault.Sentinel("controlplane: not enough VMs have recorded the change")
+	ErrUnanswered       = fault.Sentinel("controlplane: the VM did not answer")
 	ErrOutOfRange       = fault.Sentinel("controlplane: a field of another VM's message is out of range")
 	ErrStale            = fault.Sentinel("controlplane: the view of the control state is too old")
 )
--- a/internal/node/controlplane/revision_test.go
+++ b/internal/node/controlplane/revision_test.go
@@ -76,15 +76,8 @@
 // asks for newer ones do not answer.
 func TestTablesArriveBesideSilentHolders(t *testing.T) {
 	for _, seed := range seeded.Seeds(t, 3) {
-		clk := clock.NewSystem()
 		src := rng.New(seed)
-		p, err := New(Config{
-			Settings: settings.Settings{VM: "a", DataCentre: "x", Listen: settings.Listen{Fleet: "127.0.0.1:0"}, Fleet: settings.Fleet{WithoutKeys: true}},
-			Clock:    clk, Sink: invariant.Fatal{}, Log: hclog.NewNullLogger(), Directory: catalog.New("a", clk, clock.Minute, nil), Source: src,
-			Parts: quarantine.NewGuard(clk, (*decision.Log)(nil), tally.NoopScope), Explain: func(string) []byte { return nil }, Drain: func() {},
-		})
-		assert.NilError(t, err)
-		assert.NilError(t, p.Start(t.Context()))
+		p := newObserver(t, src)
 		var holders []*holder
 		for _, vm := range []string{"b", "c", "d", "e"} {
 			h := newHolder(t, vm)
@@ -107,6 +100,43 @@
 	}
 }
 
+// newObserver starts a VM without a disk.
+func newObserver(t *testing.T, src *rng.Source) *Plane {
+	t.Helper()
+	clk := clock.NewSystem()
+	p, err := New(Config{
+		Settings: settings.Settings{VM: "a", DataCentre: "x", Listen: settings.Listen{Fleet: "127.0.0.1:0"}, Fleet: settings.Fleet{WithoutKeys: true}},
+		Clock:    clk, Sink: invariant.Fatal{}, Log: hclog.NewNullLogger(), Directory: catalog.New("a", clk, clock.Minute, nil), Source: src,
+		Parts: quarantine.NewGuard(clk, (*decision.Log)(nil), tally.NoopScope), Explain: func(string) []byte { return nil }, Drain: func() {},
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, p.Start(t.Context()))
+	return p
+}
+
+// TestStartBesideSilentVM guards against a VM that is not ready for long after its start, because one of the VMs
+// that it asks for the current tables and upstreams does not answer.
+func TestStartBesideSilentVM(t *testing.T) {
+	var holders []*holder
+	for _, vm := range []string{"b", "c", "d", "e"} {
+		holders = append(holders, newHolder(t, vm))
+	}
+	for i := range holders {
+		p := newObserver(t, rng.New(uint64(i)))
+		for j, h := range holders {
+			h.silent.Store(i == j)
+			h.accept(1, p.FleetAddress())
+		}
+		started := time.Now()
+		for p.Ready() != nil {
+			assert.Assert(t, time.Since(started) < time.Second, "%s is silent: %v, %+v", holders[i].vm, p.Ready(), p.TablesStatus())
+			time.Sleep(5 * time.Millisecond)
+		}
+		awaitRevision(t, p, 1, time.Second)
+		p.Stop()
+	}
+}
+
 func awaitRevision(t *testing.T, p *Plane, number uint64, limit time.Duration) {
 	t.Helper()
 	started := time.Now()
