--- a/internal/node/controlplane/revision_test.go
+++ b/internal/node/controlplane/revision_test.go
@@ -14,6 +14,7 @@
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/invariant"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
+	"github.com/jasminecove/jasminecove/internal/control/state"
 	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/fleet/link"
 	"github.com/jasminecove/jasminecove/internal/node/decision"
@@ -147,3 +148,21 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestReopenedReplicaDoesNotRevertTables guards against older tables that come back with the state that a replica
+// has when it is opened again.
+func TestReopenedReplicaDoesNotRevertTables(t *testing.T) {
+	p := newPlane(t)
+	document := func(path string) []byte {
+		return fmt.Appendf(nil, "routes: [{name: r, match: {host: a, pathPrefix: %s}, pool: p, deadline: 1s}]\npools: [{name: p, service: s}]", path)
+	}
+	p.install(&fleetpb.Revision{Number: 7, Document: document("/new/")}, "b")
+	old := state.New(invariant.Fatal{})
+	old.Apply(1, &fleetpb.Command{Body: &fleetpb.Command_Adopt{Adopt: &fleetpb.AdoptTables{Number: 5, Document: document("/old/")}}})
+	assert.Equal(t, old.Revision().GetNumber(), uint64(5))
+	p.stateChanged(old)
+	index := p.cfg.Directory.(*catalog.Catalog).Tables()
+	_, ok := index.Route("a", "/new/1")
+	assert.Assert(t, ok && index.Revision() == 7 && p.Current().GetNumber() == 7)
+	assert.Equal(t, p.TablesStatus().Wanted, uint64(7))
+}
