Refuse no request by outdated tables at the product's own interface either

What callers saw: as at the platform's interface: 404, 405 or 403 by tables of which the VM knows that newer ones are committed.

--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -151,7 +151,7 @@
 	pipelines := driver.New(n.dir, n.links, engineapi.New(), n.violations, n.driverHooks())
 	n.front = front.New(n.tel, n.dir, n.accounts, n.settings.Callers.MaxBodyBytes, n.Ready,
 		filter.NewIdentity(orgs, n.settings.AnonymousOrganisation(), n.settings.Callers.Deadline),
-		filter.NewRoute(n.dir),
+		filter.NewRoute(n.dir, n.plane.TablesStatus),
 		filter.NewQuarantine(n.quarantine),
 		n.limits,
 		n.admission,
