Ask ordered engines for their state at the same time

Cause: the engines whose orders should be executed were asked one after the other, in the loop that also plans.

Change: they are asked at the same time.

--- a/internal/node/placer/placer.go
+++ b/internal/node/placer/placer.go
@@ -273,9 +273,11 @@
 	return orders
 }
 
-// checkCompletion asks engines whose order should be executed by now for their state, and
+// checkCompletion asks engines whose order should be executed by now for their state, all at the same time, and
 // adds the layers that they hold to the catalog before they announce them.
 func (c *Controller) checkCompletion(ctx context.Context, now clock.Time, members []*registry.Upstream) {
+	var asked sync.WaitGroup
+	defer asked.Wait()
 	for _, u := range members {
 		st := c.states[u.Id]
 		if st == nil || st.startedMs != u.StartedMs || st.checkAt == 0 || now.Before(st.checkAt) {
@@ -286,18 +288,26 @@
 			continue
 		}
 		st.checkAt = now.Add(reportInterval)
-		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-		r, err := c.API.Report(ctx, u.Id, u.Address)
-		cancel()
-		if err != nil {
-			c.Log.Decision("engineReportFailed", u.Id, "address", u.Address, "error", err.Error())
-			st.checkAt = 0
-			continue
-		}
-		if !r.Busy && r.IsOf(u.StartedMs) && r.From == st.from && r.To == st.to {
-			st.checkAt = 0
-			c.Catalog.RecordPlacement(u, r.From, r.To, true)
-		}
+		asked.Go(func() {
+			defer crash.Report("report of an ordered engine")
+			crash.Contain("report of an ordered engine", func() { c.checkOrder(ctx, u, st) })
+		})
+	}
+}
+
+// checkOrder asks an engine whether it has executed its order.
+func (c *Controller) checkOrder(ctx context.Context, u *registry.Upstream, st *engineState) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := c.API.Report(ctx, u.Id, u.Address)
+	if err != nil {
+		c.Log.Decision("engineReportFailed", u.Id, "address", u.Address, "error", err.Error())
+		st.checkAt = 0
+		return
+	}
+	if !r.Busy && r.IsOf(u.StartedMs) && r.From == st.from && r.To == st.to {
+		st.checkAt = 0
+		c.Catalog.RecordPlacement(u, r.From, r.To, true)
 	}
 }
 
--- a/internal/node/placer/placer_test.go
+++ b/internal/node/placer/placer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/control/tables"
+	"github.com/jasminecove/jasminecove/internal/fleet/registry"
 	"github.com/jasminecove/jasminecove/internal/node/placer"
 	"github.com/jasminecove/jasminecove/internal/routing/catalog"
 	"github.com/jasminecove/jasminecove/internal/routing/chain"
@@ -31,6 +32,7 @@
 	orders   int
 	maxSpan  int    // Largest number of layers in one order.
 	started  uint64 // Start time in the reports.
+	sound    string // If set, the other engines send no reports.
 }
 
 // Place implements placer.API.
@@ -64,7 +66,11 @@
 }
 
 // Report implements placer.API.
-func (e *fakeEngines) Report(_ context.Context, id, _ string) (placer.Report, error) {
+func (e *fakeEngines) Report(ctx context.Context, id, _ string) (placer.Report, error) {
+	if e.sound != "" && id != e.sound {
+		<-ctx.Done()
+		return placer.Report{}, ctx.Err()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return placer.Report{Taken: e.taken[id], From: e.held[id][0], To: e.held[id][1], StartedMs: e.started}, nil
@@ -275,6 +281,29 @@
 	t.Fatal("condition not met in time")
 }
 
+// TestSilentEnginesDoNotHoldUpOthers guards against layers that stay unused, because engines that were ordered at
+// the same time do not answer.
+func TestSilentEnginesDoNotHoldUpOthers(t *testing.T) {
+	for i := range 4 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			e := &fakeEngines{started: 1, sound: fmt.Sprint("e", i)}
+			c := startController(t, true, e)
+			for !e.allPlaced() {
+				time.Sleep(time.Millisecond)
+			}
+			placedAt := time.Now()
+			inUse := func() bool {
+				return slices.ContainsFunc(c.Members("crew"), func(u *registry.Upstream) bool { return u.Id == e.sound && u.LayerTo > u.LayerFrom })
+			}
+			for !inUse() {
+				assert.Assert(t, time.Since(placedAt) < 500*time.Millisecond, "the layers of %s are not in use", e.sound)
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
 // TestReportOfAnotherProcess guards against layers that an engine is taken to hold because a process that has
 // not announced itself holds as many.
 func TestReportOfAnotherProcess(t *testing.T) {
--- a/internal/request/filter/route_test.go
+++ b/internal/request/filter/route_test.go
@@ -19,7 +19,9 @@
 )
 
 // document is a set of tables that can be replaced.
-type document struct{ atomic.Pointer[tables.Document] }
+type document struct {
+	atomic.Pointer[tables.Document]
+}
 
 func (d *document) Tables() *tables.Document { return d.Load() }
 
