Ask the leader for the tables also when it is not a gossip target

What callers saw: nothing shown. On fleets of more than 12 VMs the VM that acknowledges a change did not ask the leader, although it knew it, but targets that may not have the revision yet.

Cause: only VMs that are known to have the revision, and targets, were sources.

Change: the VM that is named with the wanted revision is always a source.

--- a/internal/control/catchup/catchup.go
+++ b/internal/control/catchup/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/rng"
@@ -91,6 +92,9 @@
 	if wait > 0 {
 		return "", wait
 	}
+	if c.reporter != "" && !slices.ContainsFunc(sources, func(s Source) bool { return s.VM == c.reporter }) {
+		sources = append(sources, Source{VM: c.reporter, Revision: c.wanted})
+	}
 	vm = c.choose(sources)
 	if vm == "" {
 		return "", retryDelay
