Tell a VM of newer tables also while they change in quick succession

What callers saw: nothing shown; found by reading the change again.

Cause: a heartbeat with an older number was answered only if the newest revision was 300 ms old. While the tables change each 200 ms it never is.

Change: the newest revision that is 300 ms old decides.

--- a/internal/control/catchup/catchup.go
+++ b/internal/control/catchup/catchup.go
@@ -27,7 +27,7 @@
 }
 
 // Core decides which VMs are asked for the tables. A VM that does not answer soon is not waited for: another
-// one is asked beside it. VMs that were late are asked last, and never two of them while another is left.
+// one is asked beside it. VMs that were late are asked after the others.
 //
 // A Core is deterministic and does no I/O. It is not safe for concurrent use.
 type Core struct {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -79,6 +79,12 @@
 	receivedAt  clock.Time // When the last message was received.
 }
 
+// inForce is a revision that is in force on this VM since a time.
+type inForce struct {
+	revision uint64
+	since    clock.Time
+}
+
 // Core is a VM's view of the fleet. It is not safe for concurrent use.
 type Core struct {
 	self          *fleetpb.Member
@@ -97,9 +103,9 @@
 	sequence      uint64
 	syncedAt      clock.Time
 	reconnectedAt clock.Time
-	reconnects    int        // Attempts to reach a dead VM or a seed.
-	aloneFor      int        // Such attempts since another live VM was known.
-	revisedAt     clock.Time // When the revision of this VM last changed.
+	reconnects    int       // Attempts to reach a dead VM or a seed.
+	aloneFor      int       // Such attempts since another live VM was known.
+	revisions     []inForce // Of this VM: the newest one that all VMs should know, and those after it.
 	left          bool
 	view          uint64            // Hash of the live VMs and their incarnations.
 	members, live []*fleetpb.Member // Results of Members and Live; nil after a change.
@@ -324,11 +330,23 @@
 
 // tellRevision answers a heartbeat of a VM that has older tables. The VMs that have it as a target may be silent.
 func (c *Core) tellRevision(now clock.Time, m *fleetpb.GossipMessage) {
-	if m.Revision < c.self.Revision && now.Sub(c.revisedAt) >= floodTime {
+	if m.Revision < c.floodedRevision(now) {
 		c.send(m.FromAddress, &fleetpb.GossipMessage{Kind: fleetpb.GossipMessage_SYNC_REPLY})
 	}
 }
 
+// floodedRevision returns the newest revision of this VM that all VMs should know, or 0 if there is none.
+func (c *Core) floodedRevision(now clock.Time) uint64 {
+	flooded := func(r inForce) bool { return now.Sub(r.since) >= floodTime }
+	for len(c.revisions) > 1 && flooded(c.revisions[1]) {
+		c.revisions = c.revisions[1:]
+	}
+	if len(c.revisions) == 0 || !flooded(c.revisions[0]) {
+		return 0
+	}
+	return c.revisions[0].revision
+}
+
 // compareUpstreams requests a comparison of the upstreams with a VM that has known others for
 // some time, because one of both VMs has missed an update.
 func (c *Core) compareUpstreams(now clock.Time, m *fleetpb.GossipMessage) {
@@ -381,7 +399,8 @@
 	if revision <= c.self.Revision {
 		return
 	}
-	c.revisedAt = now
+	c.floodedRevision(now) // Drops what is not needed any more.
+	c.revisions = append(c.revisions, inForce{revision, now})
 	c.revision = max(c.revision, revision)
 	c.self = proto.CloneOf(c.self)
 	c.self.Revision = revision
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -364,8 +364,9 @@
 		f.apply(f.names[first], f.cores[f.names[first]].Update(f.now, gossip.RevisionMsg{Revision: 7}))
 		revision := func(vm string) uint64 { m, _ := f.cores[vm].Member(vm); return m.Revision }
 		started := f.now
-		for revision(victim) < 7 && f.now.Sub(started) < 10*clock.Second {
-			f.advance(20)
+		for next := uint64(8); revision(victim) < 7 && f.now.Sub(started) < 10*clock.Second; next++ {
+			f.advance(200)
+			f.apply(f.names[first], f.cores[f.names[first]].Update(f.now, gossip.RevisionMsg{Revision: next}))
 		}
 		took := f.now.Sub(started)
 		assert.Assert(t, took < applyTimeout, "seed %d, %d VMs: %s, whose only sources %v are silent, learns the revision after %s", seed, len(f.names), victim, silent, took)
--- a/internal/node/controlplane/confirm.go
+++ b/internal/node/controlplane/confirm.go
@@ -26,7 +26,7 @@
 		candidates = candidates[1:]
 		return vm
 	}
-	err := p.callSeveral(ctx, needed, next, func(ctx context.Context, vm string) error {
+	err := callSeveral(ctx, needed, next, func(ctx context.Context, vm string) error {
 		reply, err := p.callVM(ctx, vm, &fleetpb.Call{Body: &fleetpb.Call_Confirm{Confirm: c}})
 		if err == nil && reply.Code != fleetpb.Reply_OK {
 			err = fmt.Errorf("%s: %w: %s", vm, ErrUnconfirmed, reply.Detail)
--- a/internal/node/controlplane/gossip.go
+++ b/internal/node/controlplane/gossip.go
@@ -203,7 +203,7 @@
 		return ""
 	}
 	for answers := 0; answers < initialSyncVMs && delay.Wait(ctx, fetchRetryDelay) == nil; {
-		if p.callSeveral(ctx, 1, next, p.fetchAllUpstreams) == nil {
+		if callSeveral(ctx, 1, next, p.fetchAllUpstreams) == nil {
 			answers++
 		}
 	}
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -71,21 +71,20 @@
 		case <-p.wake:
 		case <-timer.C:
 		}
-		for {
-			vm, wait := p.nextSource()
-			if vm != "" {
-				crash.Go("fetch of tables", func() { p.fetch(ctx, vm) })
-				continue
-			}
-			if wait > 0 {
-				timer.Reset(wait.Std())
-			}
-			break
+		vm, wait := p.nextSource()
+		for vm != "" {
+			asked := vm
+			crash.Go("fetch of tables", func() { p.fetch(ctx, asked) })
+			vm, wait = p.nextSource()
+		}
+		if wait > 0 {
+			timer.Reset(wait.Std())
 		}
 	}
 }
 
-// nextSource returns the VM to ask for the tables now, or the time until the next one is to be asked.
+// nextSource returns the VM to ask for the tables now, or the time until the next one is to be asked; 0 if the
+// newest ones are in force.
 func (p *Plane) nextSource() (vm string, wait clock.Duration) {
 	p.catchupMu.Lock()
 	defer p.catchupMu.Unlock()
--- a/internal/node/controlplane/several.go
+++ b/internal/node/controlplane/several.go
@@ -13,7 +13,7 @@
 // callSeveral calls VMs until a number of them have answered without an error. A VM that does not answer soon
 // is not waited for: another one is called beside it. next returns the VM to call, or "" if there is none now.
 // callSeveral fails when ctx ends, and with the last error when no call is pending and none is left.
-func (p *Plane) callSeveral(ctx context.Context, needed int, next func() string, call func(ctx context.Context, vm string) error) error {
+func callSeveral(ctx context.Context, needed int, next func() string, call func(ctx context.Context, vm string) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error)
