--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -104,7 +104,7 @@
 	syncedAt      clock.Time
 	reconnectedAt clock.Time
 	reconnects    int       // Attempts to reach a dead VM or a seed.
-	aloneFor      int       // Such attempts since another live VM was known.
+	attemptsAlone int       // Such attempts since another live VM was known.
 	revisions     []inForce // Of this VM: the newest one that all VMs should know, and those after it.
 	left          bool
 	view          uint64            // Hash of the live VMs and their incarnations.
@@ -282,15 +282,15 @@
 		c.sync(unreached[c.reconnects%len(unreached)], fleetpb.GossipMessage_SYNC)
 		c.reconnects++
 	}
-	c.aloneFor++
+	c.attemptsAlone++
 	if len(liveAddresses) > 1 {
-		c.aloneFor = 0
+		c.attemptsAlone = 0
 	}
 }
 
 // reconnectDelay returns the time from one attempt to reach a dead VM or a seed to the next.
 func (c *Core) reconnectDelay() clock.Duration {
-	if c.aloneFor > 0 && c.aloneFor < urgentReconnects {
+	if c.attemptsAlone > 0 && c.attemptsAlone < urgentReconnects {
 		return urgentReconnectInterval
 	}
 	return reconnectInterval
