Wait in TestServiceThatWantsNoMoreCalls until hedged calls have ended

Cause, in the test: beside load the other service takes longer than 1 ms, so a call is hedged to the unwilling one, and may be on its way there when the other one has answered. The test waited only if it had arrived already, and the next call was hedged there too, before any response could say that it leaves.

Change: the test waits until no call is in flight, and then as before. It still wants exactly one call; without the record of what the response says it fails.

--- a/internal/request/filter/quarantine_test.go
+++ b/internal/request/filter/quarantine_test.go
@@ -58,6 +58,18 @@
 	return err == nil
 }
 
+// hasCallsInFlight reports whether a call to a service has not ended. A hedged one may not even have arrived.
+func (c *callers) hasCallsInFlight() bool {
+	for _, pool := range c.dir.View() {
+		for _, u := range pool.Upstreams {
+			if u.InFlight > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // startServices starts services that end on harmful requests, and returns the number of those that have.
 func (c *callers) startServices(t *testing.T, n int, harmful func(*http.Request) bool) *atomic.Int64 {
 	t.Helper()
--- a/internal/request/filter/ratelimit_test.go
+++ b/internal/request/filter/ratelimit_test.go
@@ -82,7 +82,7 @@
 			}
 			for i := range 40 {
 				c.serve(t, i, nil, "")
-				for end := time.Now().Add(5 * time.Second); unwilling.Load() > 0 && c.mayCall("s1"); time.Sleep(time.Millisecond) {
+				for end := time.Now().Add(5 * time.Second); c.hasCallsInFlight() || unwilling.Load() > 0 && c.mayCall("s1"); time.Sleep(time.Millisecond) {
 					assert.Assert(t, time.Now().Before(end), "%s: its answer was not read", name)
 				}
 			}
