Fetch the whole tables at a start without costly copies

Cause, in: all VMs that start asked the leader first, and another VM each 100 ms while whole documents, not patches, were on their way.

Change: a VM that starts asks any VM that has them, and another one after 500 ms; it refuses nothing by tables that it does not have. A VM that has tables needs a patch, and asks another one after 100 ms as before.

--- a/internal/control/catchup/catchup.go
+++ b/internal/control/catchup/catchup.go
@@ -12,6 +12,9 @@
 const (
 	// HedgeDelay is how long a VM is given to answer before another one is asked too.
 	HedgeDelay = 100 * clock.Millisecond
+	// startHedgeDelay is the same for a VM that has no tables yet. It needs the whole document, of which copies
+	// are costly where many VMs start at once, and refuses nothing by tables that it does not have.
+	startHedgeDelay = 500 * clock.Millisecond
 	// AttemptTimeout bounds one attempt. The VM may be asked again after it.
 	AttemptTimeout = 1 * clock.Second
 	// retryDelay is the delay before a VM that has just failed is asked again, if there is no other one.
@@ -114,7 +117,7 @@
 func (c *Core) expire(now clock.Time) clock.Duration {
 	maps.DeleteFunc(c.late, func(_ string, at clock.Time) bool { return now.Sub(at) >= lateRetention })
 	for vm, at := range c.pending {
-		if now.Sub(at) >= HedgeDelay {
+		if now.Sub(at) >= c.hedgeDelay() {
 			c.late[vm] = at
 		}
 		if now.Sub(at) >= AttemptTimeout {
@@ -124,7 +127,14 @@
 	if len(c.pending) == 0 {
 		return 0
 	}
-	return max(0, HedgeDelay-now.Sub(c.askedAt))
+	return max(0, c.hedgeDelay()-now.Sub(c.askedAt))
+}
+
+func (c *Core) hedgeDelay() clock.Duration {
+	if c.inForce == 0 {
+		return startHedgeDelay
+	}
+	return HedgeDelay
 }
 
 // Ranks of sources. The lowest is asked first.
--- a/internal/control/catchup/catchup_test.go
+++ b/internal/control/catchup/catchup_test.go
@@ -13,6 +13,7 @@
 // committed them, because the leader is not one of its gossip targets.
 func TestReporterIsAskedFirst(t *testing.T) {
 	c := catchup.New(rng.New(1))
+	c.InForce(900, 6)
 	c.Want(1000, 7, "leader")
 	sources := []catchup.Source{{VM: "a"}, {VM: "b", Revision: 7}}
 	vm, _ := c.Next(1000, sources)
--- a/internal/node/controlplane/adopt.go
+++ b/internal/node/controlplane/adopt.go
@@ -29,7 +29,7 @@
 	// The operator's next request may come to this VM.
 	ctx, cancel := context.WithTimeout(ctx, adoptedWait)
 	defer cancel()
-	_ = p.awaitRevision(ctx, result.Revision)
+	_ = p.awaitRevision(ctx, result.Revision, p.client.Leader())
 	return result.Revision, nil
 }
 
--- a/internal/node/controlplane/revision.go
+++ b/internal/node/controlplane/revision.go
@@ -151,7 +151,7 @@
 func (p *Plane) confirmLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		number, err := p.readCurrentNumber(ctx)
-		if err == nil && p.awaitRevision(ctx, number) == nil {
+		if err == nil && p.awaitRevision(ctx, number, "") == nil {
 			p.stampedAt.Store(int64(p.cfg.Clock.Now()))
 			p.confirmed.Store(true)
 			p.log.Info("fetched the current tables", "revision", p.Current().GetNumber())
@@ -169,9 +169,9 @@
 	return reply.GetState().GetNumber(), err
 }
 
-// awaitRevision fetches a committed revision and returns once it is in force.
-func (p *Plane) awaitRevision(ctx context.Context, number uint64) error {
-	p.wantRevision(number, p.client.Leader())
+// awaitRevision fetches a committed revision and returns once it is in force. vm is a VM that has it, or "" for any.
+func (p *Plane) awaitRevision(ctx context.Context, number uint64, vm string) error {
+	p.wantRevision(number, vm)
 	for p.Current().GetNumber() < number {
 		if err := delay.Wait(ctx, installPollInterval); err != nil {
 			return err
