Show that an encoded slash leads a request to another route

Cause: the route is looked up by the decoded path, while the path that the route's prefix begins with is the encoded one, which goes to the upstream. A request of a non-idempotent route can so be taken for one that may be repeated. Case 7 plays the load of nine VMs on nine VMs, and for longer.

--- a/review/stand-2/case7.go
+++ b/review/stand-2/case7.go
@@ -12,8 +12,9 @@
 	"time"
 )
 
-// The load of case 7: about the streams of the users' smaller deployments, on a third of the VMs.
+// The load of case 7: the streams of the users' smaller deployments, on as many VMs.
 const (
+	draftVMs      = 9
 	draftService  = "draft"
 	draftPrefix   = "/draft/"
 	draftReplicas = 3
@@ -22,19 +23,20 @@
 	draftEvents   = 86
 	eventGap      = 45 * time.Millisecond
 	streamsPerS   = 63
-	loadTime      = 16 * time.Second
+	loadTime      = 40 * time.Second
 	quietTime     = 6 * time.Second // Of it, before the disruption.
 )
 
-// Bytes without end of a replica in trouble.
+// Bytes without end of a replica in trouble: many at first, and then few at a time.
 const (
-	chunkBytes = 32 << 10
-	chunkGap   = 60 * time.Millisecond
+	firstBytes = 960 << 10
+	chunkBytes = 512
+	chunkGap   = 50 * time.Millisecond
 )
 
 // endlessHead has one of three replicas answer with a head without end, under ordinary load.
 func endlessHead(ctx context.Context, rec *record, trouble bool) (outcome, error) {
-	f, stop, err := newFleet(ctx, 3, 3)
+	f, stop, err := newFleet(ctx, draftVMs, zones)
 	if err != nil {
 		return outcome{}, err
 	}
@@ -106,18 +108,9 @@
 	return j.outcome(), nil
 }
 
-// pickVM returns the index of the VM that a new connection goes to. The shares are uneven, as the balancer picks by a
-// hash of the caller.
-func pickVM(at float64) int {
-	const first, second = 0.45, 0.75
-	switch {
-	case at < first:
-		return 0
-	case at < second:
-		return 1
-	}
-	return 2
-}
+// pickVM returns the index of the VM that a new connection goes to. The first one gets twice as many as another: the
+// balancer picks by a hash of the caller, so that the shares are uneven.
+func pickVM(at float64) int { return max(0, int(at*(draftVMs+1))-1) }
 
 // streamDraft answers with a stream of events.
 func streamDraft(_ *replica, c net.Conn, q *http.Request, _ []byte) bool {
@@ -147,9 +140,9 @@
 		return false
 	}
 	line := 0
-	for {
+	for n := firstBytes; ; n = chunkBytes {
 		var b strings.Builder
-		for b.Len() < chunkBytes {
+		for b.Len() < n {
 			fmt.Fprintf(&b, "%x:\r\n", line)
 			line++
 		}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -39,7 +39,7 @@
 	errNoLeave   = errors.New("no VM acknowledged that the replica leaves")
 )
 
-var cases = map[string]play{"6": foundings, "7": endlessHead, "8": leaveBesideRestarts, "9": longLists}
+var cases = map[string]play{"6": foundings, "7": endlessHead, "8": leaveBesideRestarts, "9": longLists, "10": encodedSlash}
 
 func main() { os.Exit(run()) }
 
