--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -44,6 +45,7 @@
 	exited     chan struct{}
 	firstStart bool
 	killed     bool
+	ended      bool // The process is not started again.
 }
 
 // fleet is the set of all VMs of a case.
@@ -81,16 +83,39 @@
 		v := &vm{fleet: f, name: fmt.Sprintf("edge-%s-%d", zone, i/zones+1), ip: fmt.Sprintf("%s.%d", network, i+1), zone: zone, hasDisk: i < disks, firstStart: true}
 		f.vms = append(f.vms, v)
 	}
-	stop = func() {
-		for _, v := range f.vms {
-			v.signal(syscall.SIGCONT)
-			v.kill()
-		}
-		if os.Getenv("KEEP_LOGS") == "" {
-			_ = os.RemoveAll(folder)
-		}
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	running.fleets = append(running.fleets, f)
+	return f, f.stop, nil
+}
+
+// running are the fleets whose processes are ended if the case is interrupted.
+var running struct {
+	mu     sync.Mutex
+	fleets []*fleet
+}
+
+// stop ends all processes of the fleet for good.
+func (f *fleet) stop() {
+	for _, v := range f.vms {
+		v.mu.Lock()
+		v.ended = true
+		v.mu.Unlock()
+		v.signal(syscall.SIGCONT)
+		v.kill()
+	}
+	if os.Getenv("KEEP_LOGS") == "" {
+		_ = os.RemoveAll(f.folder)
+	}
+}
+
+// stopAll ends the processes of all fleets.
+func stopAll() {
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	for _, f := range running.fleets {
+		f.stop()
 	}
-	return f, stop, nil
 }
 
 // freePort returns a TCP port that no process listens on.
@@ -157,6 +182,9 @@
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
+// errInterrupted reports a start of a process after the case was interrupted.
+var errInterrupted = errors.New("the case was interrupted")
+
 // start starts the process of a VM.
 func (v *vm) start() error {
 	file, err := v.writeSettings()
@@ -170,13 +198,16 @@
 	p := exec.Command(program[0], program[1:]...)
 	p.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "JASMINECOVE_CONFIG=" + file}
 	p.Stdout, p.Stderr = out, out
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.ended {
+		return errInterrupted
+	}
 	if err := p.Start(); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
-	v.mu.Lock()
 	v.process, v.exited, v.firstStart, v.killed = p, exited, false, false
-	v.mu.Unlock()
 	go func() {
 		_ = p.Wait() // Its exit code does not matter.
 		_ = out.Close()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -57,6 +59,16 @@
 	defer func() { _ = rec.file.Close() }()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-interrupted:
+		case <-time.After(limit):
+		}
+		stopAll()
+		os.Exit(exitNotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption: %t", os.Args[1], trouble)
 	out, err := cases[os.Args[1]](ctx, rec, trouble)
