--- a/review/stand-2/case10.go
+++ b/review/stand-2/case10.go
@@ -14,14 +14,16 @@
 	orderPrefix  = "/orders/"   // Not idempotent.
 	seriesPrefix = "/orders/a/" // Idempotent, of the same service.
 	// encodedPath is that of an order whose number is a/17. It begins with orderPrefix, and not with seriesPrefix.
-	encodedPath = "/orders/a%2F17"
-	plainPath   = "/orders/17"
-	lostTime    = 4 * time.Second
-	orderGap    = 50 * time.Millisecond
-	orderTime   = lostTime + 4*time.Second
-	lossPeriod  = 5 // The answers of lossOf of as many requests are lost.
-	lossOf      = 2
-	orderWork   = 20 * time.Millisecond
+	encodedPath    = "/orders/a%2F17"
+	plainPath      = "/orders/17"
+	lostTime       = 3900 * time.Millisecond
+	orderGap       = 50 * time.Millisecond
+	orderTime      = lostTime + 4*time.Second
+	lossPeriod     = 5 // The answers of the last lossOf of as many requests to a replica are lost.
+	orderReplicas  = 4
+	losingReplicas = 2
+	lossOf         = 2
+	orderWork      = 20 * time.Millisecond
 )
 
 // encodedSlash has orders with an encoded slash in their path sent while replicas lose answers.
@@ -44,10 +46,10 @@
 	if by, _ := f.apply(m, f.vms, applyLimit); by == nil {
 		return outcome{}, errNoAck
 	}
-	d := &orders{rec: rec, runs: map[string]int{}, paths: map[string]string{}}
-	for n := range 3 {
+	d := &orders{rec: rec, seen: map[string]int{}, runs: map[string]int{}, paths: map[string]string{}}
+	for n := range orderReplicas {
 		answer := d.run
-		if n < 2 {
+		if n < losingReplicas {
 			answer = d.runAndLose
 		}
 		r, err := newReplica(f, rec, fmt.Sprintf("i-%d", n), f.replicaIP(n), deskService, deskSlots, answer)
@@ -63,7 +65,7 @@
 	time.Sleep(2 * heartbeat)
 	began := time.Now()
 	if trouble {
-		rec.add("two of three replicas lose the answers of %d in %d requests", lossOf, lossPeriod)
+		rec.add("%d of %d replicas lose the answers of %d in %d requests", losingReplicas, orderReplicas, lossOf, lossPeriod)
 		d.setLosing(true)
 		time.AfterFunc(lostTime, func() { d.setLosing(false) })
 	}
@@ -91,7 +93,7 @@
 
 	mu     sync.Mutex
 	losing bool
-	seen   int
+	seen   map[string]int // By replica.
 	runs   map[string]int
 	paths  map[string]string
 }
@@ -114,9 +116,11 @@
 	defer d.mu.Unlock()
 	id := q.Header.Get(headerID)
 	d.runs[id]++
-	d.seen++
+	if d.losing {
+		d.seen[r.id]++
+	}
 	d.rec.add("order %s %s runs at %s, for the %d. time", id, q.RequestURI, r.id, d.runs[id])
-	return d.losing && d.seen%lossPeriod < lossOf
+	return d.losing && (d.seen[r.id]-1)%lossPeriod >= lossPeriod-lossOf
 }
 
 // run runs an order and answers it.
--- a/review/stand-2/case7.go
+++ b/review/stand-2/case7.go
@@ -20,6 +20,7 @@
 	draftReplicas = 3
 	draftSlots    = 192
 	draftTimeout  = 20 * time.Second
+	callerPause   = 2 * time.Second // After which a caller abandons a stream.
 	draftEvents   = 86
 	eventGap      = 45 * time.Millisecond
 	streamsPerS   = 63
@@ -91,8 +92,9 @@
 	for time.Since(began) < loadTime {
 		callers.Go(func() {
 			v := f.vms[pickVM(rand.Float64())]
-			r := send(ctx, request{method: "POST", address: v.address(portCallers), host: callersHost, path: draftPrefix + "x", body: []byte("a prompt"), id: newID(), timeout: draftTimeout})
+			r := send(ctx, request{method: "POST", address: v.address(portCallers), host: callersHost, path: draftPrefix + "x", body: []byte("a prompt"), id: newID(), timeout: draftTimeout, pause: callerPause})
 			if r.status == http.StatusOK && strings.Count(string(r.body), "\n\n") == draftEvents {
+				rec.add("stream at %s: complete after %d ms", v.name, r.took.Milliseconds())
 				answered.Add(1)
 				return
 			}
--- a/review/stand-2/case8.go
+++ b/review/stand-2/case8.go
@@ -128,6 +128,7 @@
 // answer runs a booking.
 func (d *desk) answer(r *replica, c net.Conn, q *http.Request, _ []byte) bool {
 	id := q.Header.Get(headerID)
+	d.rec.add("%s runs booking %s", r.id, id)
 	d.arrive(r, id)
 	time.Sleep(workTime)
 	return respond(c, http.StatusOK, sealed(q), []byte("booked "+id))
@@ -166,11 +167,9 @@
 	r := send(v.fleet.ctx, request{method: "POST", address: v.address(portCallers), host: callersHost, path: bookPrefix + "1", body: []byte("one booking"), id: id, timeout: bookTimeout})
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r.status != http.StatusOK {
-		d.rec.add("booking %s at %s: status %d after %d ms %v", id, v.name, r.status, r.took.Milliseconds(), r.err)
-		if d.lateRuns[id] {
-			d.cut++
-		}
+	d.rec.add("booking %s at %s: status %d after %d ms %v", id, v.name, r.status, r.took.Milliseconds(), r.err)
+	if r.status != http.StatusOK && d.lateRuns[id] {
+		d.cut++
 	}
 }
 
--- a/review/stand-2/case9.go
+++ b/review/stand-2/case9.go
@@ -67,9 +67,11 @@
 		clients.Go(func() {
 			client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: listClients}, Timeout: bookTimeout}
 			for n := sent.Add(1); n <= listRequests && sending.Err() == nil && !j.hasFault(); n = sent.Add(1) {
-				if lookWith(sending, &client, f.vms[0], list+fmt.Sprintf("%08x:250", n)) {
+				ok := lookWith(sending, &client, f.vms[0], list+fmt.Sprintf("%08x:250", n))
+				if ok {
 					answered.Add(1)
 				}
+				rec.add("lookup %d, last part %08x, answered: %t", n, n, ok)
 				if n%2000 == 0 {
 					rec.add("%d requests sent, %d answered; %s uses %d MiB", n, answered.Load(), f.vms[0].name, f.vms[0].residentBytes()>>20)
 				}
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -29,6 +29,7 @@
 	body                        []byte
 	id                          string        // Of a caller's attempt.
 	timeout                     time.Duration // How long the caller waits.
+	pause                       time.Duration // How long it waits for the first or next bytes of the answer; 0 for no limit.
 }
 
 // response is what a caller saw. Status 0 means that no complete response came.
@@ -63,13 +64,22 @@
 	}
 	dialer := net.Dialer{Timeout: time.Second}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+	leave := time.AfterFunc(r.timeout, cancel)
+	defer leave.Stop()
+	if r.pause > 0 {
+		leave.Reset(r.pause)
+	}
 	resp, err := client.Do(q)
 	if err != nil {
 		out.err = err
 		return out
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(progressReader{resp.Body, func() {
+		if r.pause > 0 {
+			leave.Reset(r.pause)
+		}
+	}})
 	if err != nil {
 		out.err = err
 		return out
@@ -78,6 +88,21 @@
 	return out
 }
 
+// progressReader reports each read that returned bytes.
+type progressReader struct {
+	io.Reader
+	progress func()
+}
+
+// Read implements io.Reader.
+func (p progressReader) Read(buf []byte) (int, error) {
+	n, err := p.Reader.Read(buf)
+	if n > 0 {
+		p.progress()
+	}
+	return n, err
+}
+
 // newID returns the id of a caller's attempt.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -48,10 +47,10 @@
 func run() int {
 	const arguments = 3
 	if len(os.Args) != arguments || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
 		return exitNotRun
 	}
-	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	rec, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
