Reject responses with malformed field names

Callers got responses of upstreams in whose head the name of a field held a blank, or began with a blank, a tab or a line feed: without that field or with it folded into the one before, and, where the field was Transfer-Encoding or Content-Length, with chunk sizes, the rest of the head or whatever came before the connection closed as the body. If the upstream kept the connection open, they waited until their deadline.

Cause: package call leaves the syntax of a head to net/http, which accepts blanks in names ("Content-Length : 2"), takes a line that starts with a blank or a tab as the continuation of the line before, and a lone line feed as the end of a line, so that one in front of a name ends the head. A status of 000, and all other control characters in a name, were rejected already; their tests stay.

Change: the bytes of a head are checked as they arrive, before net/http parses them: field names are tokens, no line continues another, and lines end in a carriage return and a line feed. RFC 9112 lets a gateway reject the latter two, and none of them can be told from a sound head once it is parsed. The response then counts as lost like any bytes that are no response: 502 with an unknown outcome, or another upstream if the request may be repeated. The error is kept, because bufio drops it after one read and net/http peeks first.

--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -30,6 +30,8 @@
 	ErrHeadTooLarge = fault.Sentinel("call: response header too large")
 	// ErrStatus reports a response whose status is none of HTTP's.
 	ErrStatus = fault.Sentinel("call: response status out of range")
+	// ErrMalformedHead reports a response whose head breaks the syntax of HTTP/1.1.
+	ErrMalformedHead = fault.Sentinel("call: malformed response head")
 )
 
 // Limits of a call.
@@ -97,6 +99,7 @@
 	expires time.Time // Until when it may be reused.
 	reused  bool      // It has carried another request.
 	left    int       // Bytes that may still be read before the end of a header; negative for no limit.
+	head    headValidator
 }
 
 func newConn(nc net.Conn, address string) *conn {
@@ -113,11 +116,27 @@
 	if c.left == 0 {
 		return 0, ErrHeadTooLarge
 	}
+	if c.head.err != nil {
+		return 0, c.head.err
+	}
 	n, err := c.Conn.Read(buf[:min(len(buf), c.left)])
 	c.left -= n
+	if headErr := c.head.validate(buf[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+// beginHead starts the validation of another head, of which some bytes may be buffered already.
+func (c *conn) beginHead() error {
+	c.head = headValidator{}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.validate(buffered)
+}
+
 // Do sends a request to an address and returns its response once the headers are read. The
 // connection is closed when ctx ends. An error wraps ErrNotSent or ErrNoResponse.
 func (p *Pool) Do(ctx context.Context, address string, r Request) (*Response, error) {
@@ -178,6 +197,9 @@
 	c.left = maxHeadBytes
 	defer func() { c.left = -1 }()
 	for range maxResponses {
+		if err := c.beginHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
--- a/internal/upstream/call/call_test.go
+++ b/internal/upstream/call/call_test.go
@@ -204,3 +204,52 @@
 		resp.Close()
 	}
 }
+
+// writeParts sends a text in several segments.
+func writeParts(c net.Conn, parts ...string) {
+	for _, part := range parts {
+		_, _ = io.WriteString(c, part)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestMalformedHead guards against a response with a blank or another character that is not allowed in a field name, at
+// any place in the name, and against waiting for more of such a response.
+func TestMalformedHead(t *testing.T) {
+	const before, name, after = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n", "Content-Length", ": 2\r\n\r\nok"
+	for _, b := range []byte("\x00\t\n\v\f\r\x1b \x7f\x80\"(),/;<=>?@[\\]{}") {
+		for _, at := range []int{0, 7, len(name)} {
+			field := name[:at] + string([]byte{b}) + name[at:] + after
+			for _, parts := range [][]string{{before + field}, {response("0", "zero") + before + field}, {before, field}, strings.Split(before+field, "")} {
+				done := make(chan struct{})
+				address := upstream(t, func(c net.Conn) {
+					readHead(c)
+					writeParts(c, parts...)
+					<-done
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				_, err := call.NewPool().Do(ctx, address, request("1"))
+				assert.Assert(t, errors.Is(err, call.ErrNoResponse) && !errors.Is(err, context.DeadlineExceeded), "%q: %v", parts, err)
+				cancel()
+				close(done)
+			}
+		}
+	}
+}
+
+// TestUnusualHead sends a head with all characters that field names may have, and empty values, byte by byte.
+func TestUnusualHead(t *testing.T) {
+	const name = "!#$%&'*+-.^_`|~09azAZ"
+	head := "HTTP/1.1 103 Hints\r\nLink:\r\n\r\nHTTP/1.1 200\r\nRequest-Id: 1\r\n" + name + ": \t a:b \x80\t\r\nEmpty:\r\nContent-Length:2\r\n\r\n"
+	address := upstream(t, func(c net.Conn) {
+		readHead(c)
+		writeParts(c, strings.Split(head+"\n ", "")...)
+	})
+	resp, err := call.NewPool().Do(t.Context(), address, request("1"))
+	assert.NilError(t, err)
+	defer resp.Close()
+	assert.Equal(t, resp.Header.Get(name), "a:b \x80")
+	body, err := io.ReadAll(resp)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "\n ")
+}
