Read responses of services by package call

Callers of a plain service got responses in whose head the name of a field held a blank, or began with a blank, a tab or a line feed, as describes for forwarded requests: the field was lost, and the body was another one where the field framed it.

Cause: calls to services went through http.Transport, whose parser accepts such heads. Its responses are parsed already, so a check after it would not see a folded line or a lone line feed.

Evidence: TestMalformedServiceResponse, which takes over the status 042 of TestServiceStatusOutOfRange as its first case, adds 000 and five heads.

Change: calls to services are sent by a call.Pool, like forwarded requests, which checks heads while they are received. It reports whether a byte was written, which replaces the trace of the transport. call.NewRequest encodes a net/http request. Responses are no longer decompressed, since Accept-Encoding is the caller's alone.

--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -38,6 +38,7 @@
 	"github.com/jasminecove/jasminecove/internal/request/inbound"
 	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/routing/directory"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
 	"github.com/jasminecove/jasminecove/internal/upstream/engineapi"
 	"github.com/jasminecove/jasminecove/internal/upstream/stagelink"
 )
@@ -51,6 +52,7 @@
 // Intervals, timeouts and limits of the VM's servers and tasks.
 const (
 	tickInterval   = 50 * time.Millisecond
+	sweepInterval  = 1 * time.Second
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 32 << 10
 	idleTimeout    = 2 * time.Minute
@@ -67,6 +69,7 @@
 
 	dir        *directory.Directory
 	links      *stagelink.Set
+	calls      *call.Pool
 	limits     *filter.Limits
 	admission  *filter.Admission
 	plane      *controlplane.Plane
@@ -103,7 +106,7 @@
 	crash.SetOutput(s.VM, out)
 	n := &Node{
 		settings: s, clock: clock.NewSystem(), tel: tel, log: tel.Log.Named("node"),
-		accounts: accounts.New(), recoveries: recovery.New(), drain: make(chan struct{}),
+		accounts: accounts.New(), recoveries: recovery.New(), calls: call.NewPool(), drain: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -139,6 +142,7 @@
 	}
 	n.task("admission", func() { n.admission.Run(ctx) })
 	n.task("lease timer", func() { n.tick(ctx) })
+	n.task("connection sweep", func() { delay.Every(ctx, sweepInterval, n.calls.Sweep) })
 	n.task("limits", func() { delay.Every(ctx, selfReportInterval, n.shareSelfReports) })
 	n.task("orders", func() { n.ordersController().Run(ctx) })
 	n.log.Info("resources", append(n.resources.LogFields(), "goMemoryLimit", n.resources.Apply(), "inboundBytes", n.inbound.Bytes())...)
@@ -152,7 +156,7 @@
 	n.admission = filter.NewAdmission(n.clock, filter.LatencyTargets{
 		BetweenTokens: n.settings.Callers.BetweenTokens, ServiceCall: n.settings.Callers.ServiceCall,
 	})
-	services := filter.NewServices(n.dir, n.clock, n.quarantine)
+	services := filter.NewServices(n.dir, n.clock, n.quarantine, n.calls)
 	services.OnRateLimit = n.logRateLimit
 	pipelines := driver.New(n.dir, n.links, engineapi.New(), n.violations, n.driverHooks())
 	n.front = front.New(n.tel, n.dir, n.accounts, n.settings.Callers.MaxBodyBytes, n.inbound, n.Ready,
--- a/internal/request/filter/quarantine_test.go
+++ b/internal/request/filter/quarantine_test.go
@@ -24,6 +24,7 @@
 	"github.com/jasminecove/jasminecove/internal/request/quarantine"
 	"github.com/jasminecove/jasminecove/internal/request/refusal"
 	"github.com/jasminecove/jasminecove/internal/routing/directory"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
@@ -44,7 +45,7 @@
 		dir:   directory.New("vm", clk, rng.New(1), func(directory.Change) {}), pool: pool,
 	}
 	c.dir.SetTables(&tables.Document{Routes: []tables.Route{{Name: "r", Pool: pool.Name}}, Pools: []tables.Pool{pool}})
-	c.services = filter.NewServices(c.dir, clk, c.guard)
+	c.services = filter.NewServices(c.dir, clk, c.guard, call.NewPool())
 	c.forward = filter.NewForward(pipelines, c.services, nil, c.guard)
 	return c
 }
--- a/internal/request/filter/services.go
+++ b/internal/request/filter/services.go
@@ -1,17 +1,15 @@
 package filter
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,10 +26,9 @@
 
 // Parameters of calls to services.
 const (
-	dialTimeout        = 500 * time.Millisecond
-	maxAttempts        = 3
-	maxResponseBytes   = 16 << 20
-	maxIdleConnections = 64
+	dialTimeout      = 500 * time.Millisecond
+	maxAttempts      = 3
+	maxResponseBytes = 16 << 20
 	// minAttemptTimeout is the minimum time limit of one attempt of a repeatable call, after
 	// which another upstream is tried.
 	minAttemptTimeout = 1500 * time.Millisecond
@@ -53,12 +50,8 @@
 type Services struct {
 	dir   *directory.Directory
 	clock clock.Clock
-	// repeatable reuses connections, and may retry a call internally.
-	repeatable http.RoundTripper
-	// singleUse uses a new connection for each call, so that net/http never sends a call twice
-	// and never uses an idle connection that no longer responds.
-	singleUse http.RoundTripper
-	guard     *quarantine.Guard
+	pool  *call.Pool
+	guard *quarantine.Guard
 	// OnRateLimit is called when a response changes the rate limit of an upstream. It may be nil.
 	OnRateLimit func(upstream, requestID string, change ratecap.Change)
 
@@ -66,14 +59,9 @@
 	budgets map[string]*budget.Budget
 }
 
-// NewServices returns the sender of calls to services.
-func NewServices(dir *directory.Directory, clk clock.Clock, guard *quarantine.Guard) *Services {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Services{
-		dir: dir, clock: clk, guard: guard, budgets: map[string]*budget.Budget{},
-		repeatable: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: 30 * time.Second},
-		singleUse:  &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-	}
+// NewServices returns the sender of calls to services. It takes their connections from the pool.
+func NewServices(dir *directory.Directory, clk clock.Clock, guard *quarantine.Guard, pool *call.Pool) *Services {
+	return &Services{dir: dir, clock: clk, guard: guard, pool: pool, budgets: map[string]*budget.Budget{}}
 }
 
 // attempt is the result of one attempt.
@@ -234,32 +222,27 @@
 	return refusal.Unknown
 }
 
-// send makes one attempt at one upstream.
+// send makes one attempt at one upstream. A call that must not be repeated gets a connection of its own, so that it is
+// not lost on an idle one that no longer responds.
 func (s *Services) send(ctx context.Context, x *exchange.Exchange, u *registry.Upstream, repeatable bool) attempt {
-	transport := s.singleUse
 	if repeatable {
-		transport = s.repeatable
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, max(minAttemptTimeout, time.Until(x.Deadline)/maxAttempts))
 		defer cancel()
 	}
-	// Bytes may be sent as soon as the transport has a connection.
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	req, err := outbound(ctx, x, u.Address)
 	if err != nil {
 		return attempt{upstream: u.Id, notRun: true, err: err}
 	}
-	a := roundTrip(transport, req)
-	if a.err != nil && !connected.Load() {
-		a.notRun = true
-	}
+	out := call.NewRequest(req, x.Body)
+	out.Fresh = !repeatable
+	a := s.roundTrip(ctx, u.Address, out)
 	a.upstream = u.Id
 	return a
 }
 
 func outbound(ctx context.Context, x *exchange.Exchange, address string) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, x.R.Method, "http://"+address+x.R.URL.RequestURI(), bytes.NewReader(x.Body))
+	req, err := http.NewRequestWithContext(ctx, x.R.Method, "http://"+address+x.R.URL.RequestURI(), http.NoBody)
 	if err != nil {
 		return nil, err
 	}
@@ -269,28 +252,24 @@
 	}
 	req.Header.Set("X-Request-Id", x.ID)
 	req.Header.Set("Jasminecove-Organisation", x.Organisation)
-	req.GetBody = nil
 	return req, nil
 }
 
-func roundTrip(transport http.RoundTripper, req *http.Request) attempt {
-	resp, err := transport.RoundTrip(req)
+func (s *Services) roundTrip(ctx context.Context, address string, out call.Request) attempt {
+	resp, err := s.pool.Do(ctx, address, out)
 	if err != nil {
-		return attempt{err: err}
+		return attempt{err: err, notRun: errors.Is(err, call.ErrNotSent)}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	defer resp.Close()
+	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
 	if err != nil {
-		return attempt{err: err}
+		return attempt{err: cmp.Or(context.Cause(ctx), err)}
 	}
 	if len(body) > maxResponseBytes {
 		return attempt{err: ErrResponseTooLarge}
 	}
-	if !call.IsStatus(resp.StatusCode) {
-		return attempt{err: call.ErrStatus}
-	}
-	a := attempt{status: resp.StatusCode, header: resp.Header, body: body}
-	a.notRun = resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(refusal.OutcomeHeader) == string(refusal.NotRun)
+	a := attempt{status: resp.Status, header: resp.Header, body: body}
+	a.notRun = resp.Status == http.StatusServiceUnavailable && resp.Header.Get(refusal.OutcomeHeader) == string(refusal.NotRun)
 	return a
 }
 
--- a/internal/request/filter/services_test.go
+++ b/internal/request/filter/services_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 
@@ -15,20 +16,27 @@
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
-// TestServiceStatusOutOfRange guards against calls without an answer when a service sends a status that
-// net/http can't write.
-func TestServiceStatusOutOfRange(t *testing.T) {
-	c := newCallers(t, tables.Pool{Name: "desk", Service: "desk"}, nil)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if assert.Check(t, err) {
-			_, _ = fmt.Fprint(conn, "HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n")
-			_ = conn.Close()
-		}
-	}))
-	t.Cleanup(server.Close)
-	c.dir.Announce(&upstreampb.Announcement{Id: "s0", Kind: "service", Name: "desk", Address: server.Listener.Addr().String(), LeaseMs: 60_000, Sequence: 1})
-	assert.Equal(t, c.serve(t, 0, nil, ""), refusal.UpstreamFailed)
+// TestMalformedServiceResponse guards against responses that reach callers, or stay without an answer, although their
+// status is none that net/http can write, or the name of a field holds a blank or a control character.
+func TestMalformedServiceResponse(t *testing.T) {
+	for _, head := range []string{
+		"042 Odd\r\nContent-Length: 0", "000 OK\r\nContent-Length: 0", "200 OK\r\nX Own: 1\r\nContent-Length: 0", "200 OK\r\nX-Own\t: 1\r\nContent-Length: 0",
+		"200 OK\r\nX-Own: 1\r\nContent-Length : 0", "200 OK\r\nX-Own: 1\r\n Content-Length: 0", "200 OK\r\nX-Own: 1\r\n\nContent-Length: 0",
+	} {
+		t.Run(strconv.Quote(head), func(t *testing.T) {
+			c := newCallers(t, tables.Pool{Name: "desk", Service: "desk"}, nil)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if assert.Check(t, err) {
+					_, _ = fmt.Fprint(conn, "HTTP/1.1 "+head+"\r\n\r\n")
+					_ = conn.Close()
+				}
+			}))
+			t.Cleanup(server.Close)
+			c.dir.Announce(&upstreampb.Announcement{Id: "s0", Kind: "service", Name: "desk", Address: server.Listener.Addr().String(), LeaseMs: 60_000, Sequence: 1})
+			assert.Equal(t, c.serve(t, 0, nil, ""), refusal.UpstreamFailed)
+		})
+	}
 }
 
 // TestContradictingHeadersOfService guards against a limit, a pause or a departure that is read off the first of
