Read engines' replies to orders and cache copies by package call

A reply to an order, or an exported cache, was taken although the name of a field in its head held a blank or began with one. No caller got such a response itself, but the engine counted as holding the order, or its cache was handed to another engine.

Cause: engineapi.HTTP used http.Client, whose parser accepts such heads.

Change: engineapi sends its requests through the VM's call.Pool, so that all responses of upstreams but the upgrade to a stage stream are read in one place. That one takes nothing from the head but the status 101. Redirects, which http.Client followed, now count as unexpected statuses.

--- a/internal/node/assembly/node.go
+++ b/internal/node/assembly/node.go
@@ -158,7 +158,7 @@
 	})
 	services := filter.NewServices(n.dir, n.clock, n.quarantine, n.calls)
 	services.OnRateLimit = n.logRateLimit
-	pipelines := driver.New(n.dir, n.links, engineapi.New(), n.violations, n.driverHooks())
+	pipelines := driver.New(n.dir, n.links, engineapi.New(n.calls), n.violations, n.driverHooks())
 	n.front = front.New(n.tel, n.dir, n.accounts, n.settings.Callers.MaxBodyBytes, n.inbound, n.Ready,
 		filter.NewIdentity(orgs, n.settings.AnonymousOrganisation(), n.settings.Callers.Deadline),
 		filter.NewRoute(n.dir, n.plane.TablesStatus),
@@ -260,7 +260,7 @@
 func (n *Node) ordersController() *orders.Controller {
 	return &orders.Controller{
 		VM: n.settings.VM, Clock: n.clock, Lease: n.plane, Control: n.plane.Client(), Upstreams: n.dir,
-		API: engineapi.New(), Sink: n.violations, Log: n.tel.Log.Named("orders"),
+		API: engineapi.New(n.calls), Sink: n.violations, Log: n.tel.Log.Named("orders"),
 	}
 }
 
--- a/internal/upstream/engineapi/engineapi.go
+++ b/internal/upstream/engineapi/engineapi.go
@@ -4,17 +4,16 @@
 package engineapi
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
-	"github.com/dghubble/sling"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
 	"github.com/jasminecove/jasminecove/internal/wire/framing"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
@@ -43,11 +42,11 @@
 
 // HTTP implements API over HTTP. The bodies are protobuf messages, for orders in JSON.
 type HTTP struct {
-	client *http.Client
+	pool *call.Pool
 }
 
-// New returns an HTTP client of engines.
-func New() *HTTP { return &HTTP{client: &http.Client{Timeout: callTimeout}} }
+// New returns an HTTP client of engines that takes its connections from the pool.
+func New(pool *call.Pool) *HTTP { return &HTTP{pool: pool} }
 
 // CopyCache implements API.
 func (h *HTTP) CopyCache(ctx context.Context, from, to string, session uint64) error {
@@ -81,19 +80,21 @@
 }
 
 func (h *HTTP) post(ctx context.Context, address, path string, body []byte) ([]byte, error) {
-	req, err := sling.New().Base("http://" + address).Post(path).Body(bytes.NewReader(body)).Request()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, http.NoBody)
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: %w", path, err)
 	}
-	resp, err := h.client.Do(req.WithContext(ctx))
+	resp, err := h.pool.Do(ctx, address, call.NewRequest(req, body))
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: %w", path, err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, &StatusError{Path: path, Status: resp.StatusCode}
+	defer resp.Close()
+	if resp.Status != http.StatusOK {
+		return nil, &StatusError{Path: path, Status: resp.Status}
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, framing.MaxMessageBytes))
+	data, err := io.ReadAll(io.LimitReader(resp, framing.MaxMessageBytes))
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: %w", path, err)
 	}
