Reject operators' responses whose status is none of HTTP's

The command line took a response of status 000 for a success: drain and the removal of a voter ended with exit code 0 though nothing said that the VM had accepted them.

Cause: the operators' client counted every status below 300 as a success, and net/http reads any three digits.

Evidence: operator.TestStatusOutOfRange failed for 000 before; it passes now, and TestScripts too.

Change: a status outside of 100 to 599 is an error of the call, for which the exit code is that of a VM that did not answer.

--- a/internal/cli/operator/operator.go
+++ b/internal/cli/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/jasminecove/jasminecove/internal/fleet/keys"
 	"github.com/jasminecove/jasminecove/internal/node/admin"
 	"github.com/jasminecove/jasminecove/internal/request/exchange"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
 
 const maxBodyBytes = 64 << 20
@@ -142,6 +143,9 @@
 		return fmt.Errorf("call %s: %w", req.URL.Path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !call.IsStatus(resp.StatusCode) {
+		return fmt.Errorf("call %s: %w: %03d", req.URL.Path, call.ErrStatus, resp.StatusCode)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err != nil {
 		return fmt.Errorf("read response: %w", err)
