--- a/internal/upstream/call/head.go
+++ b/internal/upstream/call/head.go
@@ -23,9 +23,9 @@
 // blanks in field names, lines that continue the previous one and lines that end in a line feed alone. Behind each
 // of these, a field that frames the body can go unnoticed, so that the body is not the one that was sent.
 type headValidator struct {
-	part     headPart
-	returned bool // The previous byte of the line is a carriage return.
-	err      error
+	part    headPart
+	afterCR bool // The previous byte of the line is a carriage return.
+	err     error
 }
 
 // validate checks the next bytes of a response. Bytes after the head are ignored. Once it has returned an error, it
@@ -75,15 +75,15 @@
 func (v *headValidator) skipLine(data []byte) (int, error) {
 	end := bytes.IndexByte(data, '\n')
 	if end < 0 {
-		v.returned = data[len(data)-1] == '\r'
+		v.afterCR = data[len(data)-1] == '\r'
 		return len(data), nil
 	}
 	if end > 0 {
-		v.returned = data[end-1] == '\r'
+		v.afterCR = data[end-1] == '\r'
 	}
-	if !v.returned {
+	if !v.afterCR {
 		return 0, fmt.Errorf("%w: a line ends without a carriage return", ErrMalformedHead)
 	}
-	v.part, v.returned = fieldStart, false
+	v.part, v.afterCR = fieldStart, false
 	return end + 1, nil
 }
