--- a/internal/request/filter/quarantine_test.go
+++ b/internal/request/filter/quarantine_test.go
@@ -78,7 +78,7 @@
 	for i := range n {
 		var server *httptest.Server
 		var listener net.Listener
-		server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			if !harmful(r) {
 				return
 			}
@@ -88,6 +88,7 @@
 			server.CloseClientConnections()
 		}))
 		listener = server.Listener
+		server.Start()
 		t.Cleanup(server.Close)
 		c.dir.Announce(&upstreampb.Announcement{Id: fmt.Sprintf("s%d", i), Kind: "service", Name: "desk", Address: listener.Addr().String(), LeaseMs: 60_000, Sequence: 1})
 	}
