Refuse unframed responses whose reset only the write of the request received

What callers saw: an upstream answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the upload was still being written. Callers got the part as the whole answer: an event stream ended after its first events, a call had a shorter body, or an empty one.

Cause: the kernel reports the failure of a TCP connection once, to whichever call comes first. A body above 32 KB is written in a goroutine beside the reads. Where its write got the reset, the next read returned io.EOF, as after a regular end, and a response without framing ends there. Nobody asked the writer.

Change: base/asyncwrite runs the write, and at io.EOF ends it by its deadline, waits for it and returns the failure that it received. A write that received the reset has returned from the kernel before the read could get io.EOF, so the result does not depend on a time bound, and a sound response never waits. EPIPE is no failure: the peer had ended its side before the reset. So a response without length that ends with a FIN is served, also if the rest of the upload is never read.

What callers get now: like any answer that broke. 502 with the outcome unknown for a call that must not be repeated, another upstream for one that may, the next run or a broken connection for a stream; it counts against the upstream. An early failure (413, say) without length whose connection is reset is refused as well: it can't be told from a part.

--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jasminecove/jasminecove/internal/base/crash"
+	"github.com/jasminecove/jasminecove/internal/base/asyncwrite"
 	"github.com/jasminecove/jasminecove/internal/base/fault"
 )
 
@@ -34,6 +34,8 @@
 	ErrHeadTooLarge = fault.Sentinel("call: response header too large")
 	// ErrStatus reports a response whose status is none of HTTP's.
 	ErrStatus = fault.Sentinel("call: response status out of range")
+	// ErrCutOff reports a response without framing whose connection failed before its end.
+	ErrCutOff = fault.Sentinel("call: connection failed within the response")
 	// ErrMalformedHead reports a response whose head breaks the syntax of HTTP/1.1.
 	ErrMalformedHead = fault.Sentinel("call: malformed response head")
 )
@@ -90,9 +92,9 @@
 	resp  *http.Response
 	conn  *conn
 	pool  *Pool
-	wrote chan error  // Result of writing the request; nil when it was written first.
-	ended bool        // The body was read to its end.
-	stop  func() bool // Detaches the connection from the context.
+	write *asyncwrite.Write // Writes the request; nil if it was written first.
+	ended bool              // The body was read to its end.
+	stop  func() bool       // Detaches the connection from the context.
 }
 
 // conn is one connection to an upstream.
@@ -180,7 +182,7 @@
 
 // exchange writes the request and reads the headers of the response.
 func (p *Pool) exchange(c *conn, r Request) (*Response, error) {
-	var wrote chan error
+	var write *asyncwrite.Write
 	if r.bodyBytes() <= maxInlineBytes {
 		buffers := append(net.Buffers{r.Head}, r.Body...)
 		n, err := buffers.WriteTo(c.Conn)
@@ -191,14 +193,11 @@
 			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 		}
 	} else {
-		wrote = make(chan error, 1)
-		go func() {
-			defer crash.Recover("request body")
-			err := error(ErrNoResponse)
-			defer func() { wrote <- err }()
+		write = asyncwrite.Start("request body", c.Conn, func() error {
 			buffers := append(net.Buffers{r.Head}, r.Body...)
-			_, err = buffers.WriteTo(c.Conn)
-		}()
+			_, err := buffers.WriteTo(c.Conn)
+			return err
+		})
 	}
 	stop := p.watchSilence(c)
 	defer stop()
@@ -209,7 +208,7 @@
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		resp:   resp, conn: c, pool: p, wrote: wrote,
+		resp:   resp, conn: c, pool: p, write: write,
 	}, nil
 }
 
@@ -250,12 +249,18 @@
 }
 
 // Read reads the body. It returns io.EOF when the body is complete according to its framing,
-// or when the connection was closed if the body is not framed.
+// or when the connection was closed regularly if the body is not framed.
 func (r *Response) Read(buf []byte) (int, error) {
 	n, err := r.resp.Body.Read(buf)
-	if errors.Is(err, io.EOF) {
-		r.ended = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if !r.Framed && r.write != nil {
+		if failure := r.write.EndError(); failure != nil {
+			return n, fmt.Errorf("%w: %w", ErrCutOff, failure)
+		}
+	}
+	r.ended = true
 	return n, err
 }
 
@@ -266,22 +271,9 @@
 // was read to its end, the request was written completely and no further bytes are buffered.
 func (r *Response) Close() {
 	open := r.stop == nil || r.stop()
-	if open && r.ended && r.Framed && !r.resp.Close && r.bodyWritten() && r.conn.reader.Buffered() == 0 {
+	if open && r.ended && r.Framed && !r.resp.Close && (r.write == nil || r.write.IsComplete()) && r.conn.reader.Buffered() == 0 {
 		r.pool.put(r.conn, r.Header)
 		return
 	}
 	_ = r.conn.Close()
 }
-
-// bodyWritten reports whether the request was written completely.
-func (r *Response) bodyWritten() bool {
-	if r.wrote == nil {
-		return true
-	}
-	select {
-	case err := <-r.wrote:
-		return err == nil
-	default:
-		return false
-	}
-}
