End tunnels with an error where the copy of the request received the reset

Cause: copyTunnel copied both ways and dropped the result of the copy towards the upstream. Where that got the reset, the copy back got io.EOF, and the tunnel was closed regularly. It also closed the connection as soon as the upstream took no more of the request, although its response could still be unread.

Change: at io.EOF the tunnel asks the copy of the request (asyncwrite.EndError) and ends with the error code that broken connections have. Only the end of the other VM closes the connection early. What the upstream sent before its reset is delivered before the error (RESET_STREAM_AT, an extension of QUIC that the library has): else a whole response with a length, early on an upload that is not read, could be discarded with the reset.

Old and new builds: no message changes. A VM of the build before takes the error code as it always did; it does not announce the extension, so the tunnel is reset plainly and it may lose the end of what came before, which it then reports as broken. Tunnels that a VM of the build before carries keep the fault until it is replaced.

--- a/internal/fleet/link/transport.go
+++ b/internal/fleet/link/transport.go
@@ -144,7 +144,8 @@
 func (t *Transport) config() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: quicIdleTimeout, MaxIncomingStreams: maxIncomingStreams,
-		InitialStreamReceiveWindow: maxStreamWindowBytes, MaxStreamReceiveWindow: maxStreamWindowBytes, MaxConnectionReceiveWindow: maxConnectionWindowBytes,
+		EnableStreamResetPartialDelivery: true, // For tunnels.
+		InitialStreamReceiveWindow:       maxStreamWindowBytes, MaxStreamReceiveWindow: maxStreamWindowBytes, MaxConnectionReceiveWindow: maxConnectionWindowBytes,
 	}
 }
 
--- a/internal/fleet/link/tunnel.go
+++ b/internal/fleet/link/tunnel.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/jasminecove/jasminecove/internal/base/asyncwrite"
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/base/crash"
 	"github.com/jasminecove/jasminecove/internal/base/delay"
@@ -141,22 +143,35 @@
 
 // copyTunnel copies bytes both ways until one of the sides ends.
 func (t *Transport) copyTunnel(stream *quic.Stream, requests io.Reader, conn net.Conn) {
-	done := make(chan struct{})
-	go func() {
-		defer crash.Recover("tunnel")
-		defer close(done)
-		_, _ = io.CopyBuffer(onlyWriter{conn}, onlyReader{requests}, make([]byte, tunnelBufferBytes))
-		// The other VM has closed its end, or is lost.
-		_ = conn.Close()
-	}()
+	upload := asyncwrite.Start("tunnel", conn, func() error {
+		_, err := io.CopyBuffer(onlyWriter{conn}, closingReader{requests, conn}, make([]byte, tunnelBufferBytes))
+		return err
+	})
 	_, err := io.CopyBuffer(onlyWriter{countingStream{stream, t}}, onlyReader{conn}, make([]byte, tunnelBufferBytes))
-	if err != nil {
+	stream.CancelRead(0)
+	if err = cmp.Or(err, upload.EndError()); err != nil {
+		// What the upstream sent before the failure still arrives. It may hold a whole response with a length.
+		stream.SetReliableBoundary()
 		stream.CancelWrite(tunnelBroken)
 	}
 	_ = stream.Close()
-	stream.CancelRead(0)
 	_ = conn.Close()
-	<-done
+}
+
+// closingReader closes the connection to the upstream once the other VM has closed its end, or is lost. A write that fails
+// leaves the connection open, since what the upstream sent before may still be unread.
+type closingReader struct {
+	io.Reader
+	conn io.Closer
+}
+
+// Read implements io.Reader.
+func (r closingReader) Read(buf []byte) (int, error) {
+	n, err := r.Reader.Read(buf)
+	if err != nil {
+		_ = r.conn.Close()
+	}
+	return n, err
 }
 
 // onlyReader and onlyWriter hide what would make io.CopyBuffer use a buffer of its own.
--- a/internal/fleet/link/tunnel_test.go
+++ b/internal/fleet/link/tunnel_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,6 +95,49 @@
 	}
 }
 
+// TestTunnelOfResetWithinRequest guards against parts of responses that look complete because the copy of the request
+// received the reset of the connection to the upstream. What the upstream sent before it must arrive.
+func TestTunnelOfResetWithinRequest(t *testing.T) {
+	const rounds = 20
+	_, of := newKeys(t, "a", "b")
+	a, _ := open(t, of["a"])
+	b, _ := open(t, of["b"], link.WithTunnels(dialer{}))
+	response := strings.Repeat("response", 4<<10)
+	reset := func(delay time.Duration) func(c *net.TCPConn) {
+		return func(c *net.TCPConn) {
+			time.Sleep(delay)
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}
+	}
+	for name, test := range map[string]struct {
+		end     func(c *net.TCPConn)
+		regular bool
+	}{
+		"reset at once":          {reset(0), false},
+		"reset soon":             {reset(5 * time.Millisecond), false},
+		"half-closed and reset":  {func(c *net.TCPConn) { _ = c.CloseWrite(); reset(5 * time.Millisecond)(c) }, true},
+		"half-closed, rest read": {func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c); _ = c.Close() }, true},
+	} {
+		for _, size := range []int{100 << 10, 1 << 20, 4 << 20} {
+			address := upstream(t, func(c *net.TCPConn) {
+				_, _ = io.ReadFull(c, make([]byte, 1000))
+				_, _ = io.WriteString(c, response)
+				test.end(c)
+			})
+			for range rounds {
+				c, _, err := a.Tunnel(t.Context(), b.Address(), &fleetpb.Tunnel{Address: address})
+				assert.NilError(t, err)
+				go func() { _, _ = c.Write(make([]byte, size)) }()
+				got, err := io.ReadAll(c)
+				assert.Equal(t, err == nil, test.regular, "%s, %d bytes: %v", name, size, err)
+				assert.Equal(t, string(got), response, "%s, %d bytes: %v", name, size, err)
+				_ = c.Close()
+			}
+		}
+	}
+}
+
 // TestTunnelEndsWithItsCaller guards against upstreams that go on after the near end of a tunnel was closed.
 func TestTunnelEndsWithItsCaller(t *testing.T) {
 	_, of := newKeys(t, "a", "b")
