Refuse responses longer than their reader accepts instead of using their beginning

What was seen, by reading and by tests, not by callers: an engine's report, the reply to an order, a cache that one engine exports and another imports, and what the command line reads were cut at the limit of the reader and used as the whole.

Cause: io.LimitReader ends like a complete response. filter/services alone read one byte more.

Change: call.ReadAll reads up to a limit and refuses what is longer; services uses it in place of its own. The status of an order and of a health check still counts whatever its body is (platform.TestAnswersToOrders): only a report needs the body. Nothing between VMs changes.

--- a/internal/cli/operator/operator.go
+++ b/internal/cli/operator/operator.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"os"
@@ -146,7 +145,7 @@
 	if !call.IsStatus(resp.StatusCode) {
 		return fmt.Errorf("call %s: %w: %03d", req.URL.Path, call.ErrStatus, resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	data, err := call.ReadAll(resp.Body, maxBodyBytes)
 	if err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
--- a/internal/cli/operator/operator_test.go
+++ b/internal/cli/operator/operator_test.go
@@ -4,11 +4,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/cli/operator"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
 
 // TestStatusOutOfRange guards against a call that counts as done although the status of its response is none of HTTP's.
@@ -29,3 +31,15 @@
 		server.Close()
 	}
 }
+
+// TestTooLargeResponse guards against a result of which only the beginning was read.
+func TestTooLargeResponse(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "{}"+strings.Repeat(" ", 64<<20)+"?")
+	}))
+	defer server.Close()
+	client, err := operator.New(operator.Config{Server: server.URL})
+	assert.NilError(t, err)
+	_, err = client.Status(t.Context())
+	assert.ErrorIs(t, err, call.ErrBodyTooLarge)
+}
--- a/internal/request/filter/errors.go
+++ b/internal/request/filter/errors.go
@@ -4,8 +4,6 @@
 
 // Errors of calls.
 const (
-	// ErrResponseTooLarge is returned for a service's response that is larger than maxResponseBytes.
-	ErrResponseTooLarge = fault.Sentinel("filter: response of the service exceeds the maximum size")
 	// errPanicked ends an attempt that panicked.
 	errPanicked = fault.Sentinel("filter: the call ended by a panic")
 	// errRepeatedCrash ends a model call that lost engines before its answer had begun.
--- a/internal/request/filter/services.go
+++ b/internal/request/filter/services.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -261,13 +260,10 @@
 		return attempt{err: err, notRun: errors.Is(err, call.ErrNotSent)}
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
+	body, err := call.ReadAll(resp, maxResponseBytes)
 	if err != nil {
 		return attempt{err: cmp.Or(context.Cause(ctx), err)}
 	}
-	if len(body) > maxResponseBytes {
-		return attempt{err: ErrResponseTooLarge}
-	}
 	a := attempt{status: resp.Status, header: resp.Header, body: body}
 	a.notRun = resp.Status == http.StatusServiceUnavailable && resp.Header.Get(refusal.OutcomeHeader) == string(refusal.NotRun)
 	return a
--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -36,6 +36,8 @@
 	ErrStatus = fault.Sentinel("call: response status out of range")
 	// ErrCutOff reports a response without framing whose connection failed before its end.
 	ErrCutOff = fault.Sentinel("call: connection failed within the response")
+	// ErrBodyTooLarge reports a response whose body is longer than the reader accepts.
+	ErrBodyTooLarge = fault.Sentinel("call: response body too large")
 	// ErrMalformedHead reports a response whose head breaks the syntax of HTTP/1.1.
 	ErrMalformedHead = fault.Sentinel("call: malformed response head")
 )
@@ -264,6 +266,15 @@
 	return n, err
 }
 
+// ReadAll reads a body to its end, or returns ErrBodyTooLarge if it is longer than limit bytes.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, ErrBodyTooLarge
+	}
+	return data, err
+}
+
 // Buffered returns the number of bytes that can be read without blocking.
 func (r *Response) Buffered() int { return r.conn.reader.Buffered() }
 
--- a/internal/upstream/engineapi/engineapi.go
+++ b/internal/upstream/engineapi/engineapi.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -94,7 +93,7 @@
 	if resp.Status != http.StatusOK {
 		return nil, &StatusError{Path: path, Status: resp.Status}
 	}
-	data, err := io.ReadAll(io.LimitReader(resp, framing.MaxMessageBytes))
+	data, err := call.ReadAll(resp, framing.MaxMessageBytes)
 	if err != nil {
 		return nil, fmt.Errorf("engine %s: %w", path, err)
 	}
--- a/internal/upstream/engineapi/engineapi_test.go
+++ b/internal/upstream/engineapi/engineapi_test.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 	"github.com/jasminecove/jasminecove/internal/upstream/engineapi"
+	"github.com/jasminecove/jasminecove/internal/wire/framing"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
 
@@ -37,3 +39,25 @@
 		})
 	}
 }
+
+// TestTooLargeResponse guards against the beginning of a response that is taken for the whole: a cache that another engine
+// imports, or a reply to an order.
+func TestTooLargeResponse(t *testing.T) {
+	imported := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/v1/cache/export":
+			_, _ = w.Write(make([]byte, framing.MaxMessageBytes+1))
+		case "/v1/cache/import":
+			imported = true
+		default:
+			_, _ = io.WriteString(w, `{"accepted":true}`+strings.Repeat(" ", framing.MaxMessageBytes)+"?")
+		}
+	}))
+	defer server.Close()
+	api, address := engineapi.New(call.NewPool()), server.Listener.Addr().String()
+	assert.ErrorIs(t, api.CopyCache(t.Context(), address, address, 1), call.ErrBodyTooLarge)
+	assert.Assert(t, !imported)
+	_, err := api.Order(t.Context(), address, &upstreampb.Order{Id: "o", Fencing: 42})
+	assert.ErrorIs(t, err, call.ErrBodyTooLarge)
+}
