Check that responses behind malformed interim heads are refused

Cause: the heads of interim responses count as heads, and no test covered blanks and control characters in the names of their fields.

Change: call.TestMalformedInterimHead sends nine such heads with three statuses, in one segment, in two, and byte by byte.

--- a/internal/upstream/call/call_test.go
+++ b/internal/upstream/call/call_test.go
@@ -238,6 +238,23 @@
 	}
 }
 
+// TestMalformedInterimHead guards against responses behind an interim response whose head is malformed.
+func TestMalformedInterimHead(t *testing.T) {
+	for _, field := range []string{"Li nk: 1", "Link : 1", " Link: 1", "\tLink: 1", "Li\x00nk: 1", "Link\x7f: 1", "\nLink: 1", "X: 1\r\n Link: 1", "X: 1\nLink: 1"} {
+		for _, status := range []string{"100 Continue", "102 Processing", "103 Early Hints"} {
+			interim, final := "HTTP/1.1 "+status+"\r\nRequest-Id: 1\r\n"+field+"\r\n\r\n", response("1", "one")
+			for _, parts := range [][]string{{interim + final}, {interim, final}, strings.Split(interim+final, "")} {
+				address := upstream(t, func(c net.Conn) {
+					readHead(c)
+					writeParts(c, parts...)
+				})
+				_, err := call.NewPool().Do(t.Context(), address, request("1"))
+				assert.Assert(t, errors.Is(err, call.ErrNoResponse), "%q: %v", parts, err)
+			}
+		}
+	}
+}
+
 // TestUnusualHead sends a head with all characters that field names may have, and empty values, byte by byte.
 func TestUnusualHead(t *testing.T) {
 	const name = "!#$%&'*+-.^_`|~09azAZ"
