Refuse chunked responses whose trailer is malformed

What callers saw: the answer of an upstream whose trailer held a blank in the name of a field, as a complete one. The line was not passed on.

Cause: the trailer was read by net/http, which accepts blanks in names, joins lines that start with a blank to the line before, and takes a line feed alone as the end of a line; what call checks itself ended with the head.

Change: the chunks are read by net/http/httputil, and the trailer behind them by the validator of heads, at most 4 KB of it as before. This holds for responses that are skipped as well. A malformed trailer breaks the response like a cut body. Nothing between VMs changes.

--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -227,6 +227,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+			resp.Body = newChunkedBody(c.reader)
+		}
 		if !IsStatus(resp.StatusCode) {
 			return nil, ErrStatus
 		}
--- a/internal/upstream/call/call_test.go
+++ b/internal/upstream/call/call_test.go
@@ -255,6 +255,50 @@
 	}
 }
 
+// TestMalformedTrailer guards against chunked responses that count as complete although their trailer is malformed,
+// breaks off or has no end.
+func TestMalformedTrailer(t *testing.T) {
+	const head, body, end = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTrailer: X-Own\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n", "0\r\n"
+	for cut := range head + body + end + "X-Own: 1\r\n\r" {
+		address := upstream(t, func(c net.Conn) {
+			readHead(c)
+			_, _ = io.WriteString(c, (head + body + end + "X-Own: 1\r\n\r\n")[:cut])
+		})
+		resp, err := call.NewPool().Do(t.Context(), address, request("1"))
+		if err == nil {
+			_, err = io.ReadAll(resp)
+			resp.Close()
+		}
+		assert.Assert(t, err != nil, "cut at %d", cut)
+	}
+	for trailer, sound := range map[string]bool{
+		"\r\n": true, "X-Own: 1\r\n\r\n": true, "X-Own: 1\r\nX-Other:\r\n\r\n": true,
+		"X Own: 1\r\n\r\n": false, "X-Own : 1\r\n\r\n": false, " X-Own: 1\r\n\r\n": false, "X-A: 1\r\n X-Own: 1\r\n\r\n": false, "X-Own\x01: 1\r\n\r\n": false,
+		"X-Own: 1\nX-Other: 2\r\n\r\n": false, "X-Own: 1\r\n": false, "": false, "X-Own: " + strings.Repeat("x", 2<<20): false,
+	} {
+		name := trailer[:min(len(trailer), 40)]
+		whole := head + body + end + trailer
+		for _, skipped := range []string{"", strings.Replace(whole, "Id: 1", "Id: 0", 1)} {
+			for _, split := range []int{0, len(skipped) + len(head+body+end), len(skipped) + len(whole) - 1} {
+				address := upstream(t, func(c net.Conn) {
+					readHead(c)
+					all := skipped + whole
+					writeParts(c, all[:split], all[split:])
+				})
+				resp, err := call.NewPool().Do(t.Context(), address, request("1"))
+				if err != nil {
+					assert.Assert(t, !sound && skipped != "", "%q: %v", name, err)
+					continue
+				}
+				got, err := io.ReadAll(resp)
+				resp.Close()
+				assert.Equal(t, err == nil, sound, "%q: %v", name, err)
+				assert.Equal(t, string(got), "ok")
+			}
+		}
+	}
+}
+
 // TestUnusualHead sends a head with all characters that field names may have, and empty values, byte by byte.
 func TestUnusualHead(t *testing.T) {
 	const name = "!#$%&'*+-.^_`|~09azAZ"
