Check the head of the response to a stage upgrade as strictly as others

What was seen, by tests: frames were taken from an engine whose response to the upgrade had a blank in the name of a field or a line without a carriage return, and a head without end was read into memory until the dial timed out (829 MB in 10 s in the test, which allows itself that time; 300 ms by default).

Cause: stagelink read the response with net/http alone; the check and the bound of heads belonged to calls.

Change: call.ReadHead reads one head with the same checks, and stagelink uses it. Nothing between VMs changes.

--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -247,6 +247,16 @@
 	return nil, ErrMismatch
 }
 
+// ReadHead reads the head of one response from a connection that is used for more than calls. It returns a reader of what
+// follows, and is as strict as Do.
+func ReadHead(nc net.Conn, req *http.Request) (*http.Response, *bufio.Reader, error) {
+	c := &conn{Conn: nc, left: maxHeadBytes, heard: &atomic.Int64{}}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	resp, err := http.ReadResponse(c.reader, req)
+	c.left = -1
+	return resp, c.reader, err
+}
+
 // IsStatus reports whether a status is within the classes that HTTP defines. net/http reads any
 // three digits and panics when some of them are written.
 func IsStatus(status int) bool {
--- a/internal/upstream/stagelink/stream.go
+++ b/internal/upstream/stagelink/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/crash"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
 	"github.com/jasminecove/jasminecove/internal/wire/framing"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
 )
@@ -58,8 +59,7 @@
 	if err := req.Write(conn); err != nil {
 		return nil, fmt.Errorf("upgrade: %w", err)
 	}
-	buf := bufio.NewReader(conn)
-	resp, err := http.ReadResponse(buf, req)
+	resp, buf, err := call.ReadHead(conn, req)
 	if err != nil {
 		return nil, fmt.Errorf("upgrade: %w", err)
 	}
