--- a/internal/fleet/link/tunnel_test.go
+++ b/internal/fleet/link/tunnel_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
 	"github.com/jasminecove/jasminecove/internal/fleet/link"
+	"github.com/jasminecove/jasminecove/internal/upstream/call"
 	"github.com/jasminecove/jasminecove/internal/wire/fleetpb"
 )
 
@@ -138,6 +139,53 @@
 	}
 }
 
+// TestUnframedResponseThroughTunnel checks both ends of a call through another VM: a part is never the whole, and a whole
+// response is served although the rest of the upload is refused.
+func TestUnframedResponseThroughTunnel(t *testing.T) {
+	const rounds = 10
+	_, of := newKeys(t, "a", "b")
+	a, _ := open(t, of["a"])
+	b, _ := open(t, of["b"], link.WithTunnels(dialer{}))
+	pool := call.NewPool(call.WithDial(func(ctx context.Context, _, address string) (net.Conn, error) {
+		c, _, err := a.Tunnel(ctx, b.Address(), &fleetpb.Tunnel{Address: address})
+		return c, err
+	}))
+	drain := func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }
+	reset := func(c *net.TCPConn) { time.Sleep(5 * time.Millisecond); _ = c.SetLinger(0) }
+	const size = 4 << 20
+	for name, test := range map[string]struct {
+		read  int64
+		end   func(c *net.TCPConn)
+		whole bool
+	}{
+		"reset":                {0, reset, false},
+		"reset at the half":    {size / 2, reset, false},
+		"reset at the end":     {size, reset, false},
+		"early, rest read":     {0, func(c *net.TCPConn) { _ = c.CloseWrite(); drain(c) }, true},
+		"early, rest not read": {0, func(c *net.TCPConn) { _ = c.CloseWrite(); reset(c) }, true},
+		"upload ending":        {size - 1, func(c *net.TCPConn) { _ = c.CloseWrite(); drain(c) }, true},
+		"upload ended":         {size, func(*net.TCPConn) {}, true},
+	} {
+		head := "POST / HTTP/1.1\r\nHost: x\r\n\r\n"
+		address := upstream(t, func(c *net.TCPConn) {
+			_, _ = io.CopyN(io.Discard, c, int64(len(head))+test.read)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbody")
+			test.end(c)
+			_ = c.Close()
+		})
+		for range rounds {
+			resp, err := pool.Do(t.Context(), address, call.Request{Method: "POST", Head: []byte(head), Body: [][]byte{make([]byte, size)}, Fresh: true})
+			var body []byte
+			if err == nil {
+				body, err = io.ReadAll(resp)
+				resp.Close()
+			}
+			assert.Equal(t, err == nil, test.whole, "%s: %v", name, err)
+			assert.Assert(t, !test.whole || string(body) == "body", "%s: %q", name, body)
+		}
+	}
+}
+
 // TestTunnelEndsWithItsCaller guards against upstreams that go on after the near end of a tunnel was closed.
 func TestTunnelEndsWithItsCaller(t *testing.T) {
 	_, of := newKeys(t, "a", "b")
