Name the end of a write beside a reader Stop, and share the scripted server of tests

Cause: EndError read like a getter, and ends the write; the field that holds the upload was named after the package. Four tests had the same accept loop.

Change: names; a write that panicked has an error of its own. testkit/rawserver is used by call, forward and stagelink.

--- a/internal/base/asyncwrite/asyncwrite.go
+++ b/internal/base/asyncwrite/asyncwrite.go
@@ -12,8 +12,12 @@
 	"time"
 
 	"github.com/jasminecove/jasminecove/internal/base/crash"
+	"github.com/jasminecove/jasminecove/internal/base/fault"
 )
 
+// errPanicked is the result of a write that panicked.
+const errPanicked = fault.Sentinel("asyncwrite: the write panicked")
+
 // expired is a deadline that has passed.
 var expired = time.Unix(1, 0)
 
@@ -26,7 +30,7 @@
 
 // Start runs write, which writes to conn. The name says in logs what the goroutine does.
 func Start(name string, conn net.Conn, write func() error) *Write {
-	w := &Write{conn: conn, done: make(chan struct{}), err: net.ErrClosed}
+	w := &Write{conn: conn, done: make(chan struct{}), err: errPanicked}
 	crash.Go(name, func() {
 		defer close(w.done)
 		w.err = write()
@@ -44,9 +48,9 @@
 	}
 }
 
-// EndError returns the failure of the connection that the write received, or nil if there is none. It is called once the
-// reader has received io.EOF, and ends a write that is still blocked in the connection.
-func (w *Write) EndError() error {
+// Stop ends the write if it is still blocked, and returns the failure of the connection that it received, or nil if there
+// is none. A reader that got io.EOF calls it to tell a regular end from a failure.
+func (w *Write) Stop() error {
 	// A write that received the failure has returned from the kernel before the reader received io.EOF, so that the
 	// deadline does not hide the failure.
 	_ = w.conn.SetWriteDeadline(expired)
--- a/internal/fleet/link/tunnel.go
+++ b/internal/fleet/link/tunnel.go
@@ -149,7 +149,7 @@
 	})
 	_, err := io.CopyBuffer(onlyWriter{countingStream{stream, t}}, onlyReader{conn}, make([]byte, tunnelBufferBytes))
 	stream.CancelRead(0)
-	if err = cmp.Or(err, upload.EndError()); err != nil {
+	if err = cmp.Or(err, upload.Stop()); err != nil {
 		// What the upstream sent before the failure still arrives. It may hold a whole response with a length.
 		stream.SetReliableBoundary()
 		stream.CancelWrite(tunnelBroken)
--- a/internal/request/forward/cutoff_test.go
+++ b/internal/request/forward/cutoff_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jasminecove/jasminecove/internal/testkit/rawserver"
 )
 
 // longUpload is a body that the kernel does not buffer as a whole, so that it is still being written when an upstream
@@ -21,27 +23,15 @@
 // then ends the connection with end.
 func (f *fixture) startEarly(t *testing.T, id, service string, to uint32, body string, end func(c *net.TCPConn)) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: %s\r\n%s\r\n%s", r.Header.Get("Jasminecove-Request-Id"), integrity, body)
-				end(c.(*net.TCPConn))
-			}()
+	address := rawserver.Start(t, func(c *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	f.announce(&upstream{id: id, address: l.Addr().String()}, service, 0, to)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nJasminecove-Request-Id: %s\r\n%s\r\n%s", r.Header.Get("Jasminecove-Request-Id"), integrity, body)
+		end(c)
+	})
+	f.announce(&upstream{id: id, address: address}, service, 0, to)
 }
 
 func resetSoon(c *net.TCPConn) {
--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -91,12 +91,12 @@
 	// where the connection is closed.
 	Framed bool
 
-	resp  *http.Response
-	conn  *conn
-	pool  *Pool
-	write *asyncwrite.Write // Writes the request; nil if it was written first.
-	ended bool              // The body was read to its end.
-	stop  func() bool       // Detaches the connection from the context.
+	resp   *http.Response
+	conn   *conn
+	pool   *Pool
+	upload *asyncwrite.Write // Writes the request; nil if it was written first.
+	ended  bool              // The body was read to its end.
+	stop   func() bool       // Detaches the connection from the context.
 }
 
 // conn is one connection to an upstream.
@@ -184,7 +184,7 @@
 
 // exchange writes the request and reads the headers of the response.
 func (p *Pool) exchange(c *conn, r Request) (*Response, error) {
-	var write *asyncwrite.Write
+	var upload *asyncwrite.Write
 	if r.bodyBytes() <= maxInlineBytes {
 		buffers := append(net.Buffers{r.Head}, r.Body...)
 		n, err := buffers.WriteTo(c.Conn)
@@ -195,7 +195,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 		}
 	} else {
-		write = asyncwrite.Start("request body", c.Conn, func() error {
+		upload = asyncwrite.Start("request body", c.Conn, func() error {
 			buffers := append(net.Buffers{r.Head}, r.Body...)
 			_, err := buffers.WriteTo(c.Conn)
 			return err
@@ -210,7 +210,7 @@
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		resp:   resp, conn: c, pool: p, write: write,
+		resp:   resp, conn: c, pool: p, upload: upload,
 	}, nil
 }
 
@@ -270,8 +270,8 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if !r.Framed && r.write != nil {
-		if failure := r.write.EndError(); failure != nil {
+	if !r.Framed && r.upload != nil {
+		if failure := r.upload.Stop(); failure != nil {
 			return n, fmt.Errorf("%w: %w", ErrCutOff, failure)
 		}
 	}
@@ -295,7 +295,7 @@
 // was read to its end, the request was written completely and no further bytes are buffered.
 func (r *Response) Close() {
 	open := r.stop == nil || r.stop()
-	if open && r.ended && r.Framed && !r.resp.Close && (r.write == nil || r.write.IsComplete()) && r.conn.reader.Buffered() == 0 {
+	if open && r.ended && r.Framed && !r.resp.Close && (r.upload == nil || r.upload.IsComplete()) && r.conn.reader.Buffered() == 0 {
 		r.pool.put(r.conn, r.Header)
 		return
 	}
--- a/internal/upstream/call/call_test.go
+++ b/internal/upstream/call/call_test.go
@@ -13,28 +13,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jasminecove/jasminecove/internal/testkit/rawserver"
 	"github.com/jasminecove/jasminecove/internal/upstream/call"
 )
 
 // upstream starts a server that passes each connection to serve, and returns its address.
 func upstream(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				serve(c)
-				_ = c.Close()
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Start(t, func(c *net.TCPConn) { serve(c) })
 }
 
 // readHead reads the beginning of a request.
--- a/internal/upstream/stagelink/upgrade_test.go
+++ b/internal/upstream/stagelink/upgrade_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jasminecove/jasminecove/internal/base/clock"
+	"github.com/jasminecove/jasminecove/internal/testkit/rawserver"
 	"github.com/jasminecove/jasminecove/internal/upstream/stagelink"
 	"github.com/jasminecove/jasminecove/internal/wire/framing"
 	"github.com/jasminecove/jasminecove/internal/wire/upstreampb"
@@ -23,24 +24,11 @@
 // engine starts an engine that answers the request for an upgrade with serve, and returns its address.
 func engine(t *testing.T, serve func(c net.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					serve(c)
-				}
-			}()
+	return rawserver.Start(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			serve(c)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // TestMalformedUpgrade guards against frames that are taken from an engine whose response to the upgrade is malformed.
