--- a/internal/fleet/link/transport.go
+++ b/internal/fleet/link/transport.go
@@ -144,7 +144,7 @@
 func (t *Transport) config() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: quicIdleTimeout, MaxIncomingStreams: maxIncomingStreams,
-		EnableStreamResetPartialDelivery: true, // For tunnels.
+		EnableStreamResetPartialDelivery: true, // Tunnels deliver what came before a reset.
 		InitialStreamReceiveWindow:       maxStreamWindowBytes, MaxStreamReceiveWindow: maxStreamWindowBytes, MaxConnectionReceiveWindow: maxConnectionWindowBytes,
 	}
 }
--- a/internal/upstream/call/call.go
+++ b/internal/upstream/call/call.go
@@ -247,8 +247,8 @@
 	return nil, ErrMismatch
 }
 
-// ReadHead reads the head of one response from a connection that is used for more than calls. It returns a reader of what
-// follows, and is as strict as Do.
+// ReadHead reads the head of one response from a connection that then carries another protocol, as strictly as Do. The
+// reader returns what follows the head.
 func ReadHead(nc net.Conn, req *http.Request) (*http.Response, *bufio.Reader, error) {
 	c := &conn{Conn: nc, left: maxHeadBytes, heard: &atomic.Int64{}}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
