Hold that a reset behind the end of a response is no failure

Cause: no test met the write that gets EPIPE, since the response was read before the reset. With EPIPE taken for a failure (trial on a scratch copy) all cases of call.TestUnframedResponse passed.

Change: a case that resets at once after the end. Result: it fails 3 times of 3 with EPIPE taken for a failure, and passes 5 times of 5 with the race detector. No product code changes.

--- a/internal/upstream/call/cutoff_test.go
+++ b/internal/upstream/call/cutoff_test.go
@@ -57,17 +57,18 @@
 		end   func(c *net.TCPConn)
 		whole bool
 	}{
-		"reset at once":              {0, reset(0), false},
-		"reset soon":                 {0, reset(5 * time.Millisecond), false},
-		"reset within the upload":    {size / 2, reset(time.Millisecond), false},
-		"reset at its end":           {size - 1, reset(time.Millisecond), false},
-		"reset after it":             {size, reset(time.Millisecond), false},
-		"early, rest read":           {0, halfClose(drain), true},
-		"early, rest not read":       {0, halfClose(reset(time.Millisecond)), true},
-		"upload ending":              {size - 1, halfClose(drain), true},
-		"upload ending, closed":      {size, func(*net.TCPConn) {}, true},
-		"upload ended, half-closed":  {size, halfClose(drain), true},
-		"upload ended, closed later": {size, func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) }, true},
+		"reset at once":               {0, reset(0), false},
+		"reset soon":                  {0, reset(5 * time.Millisecond), false},
+		"reset within the upload":     {size / 2, reset(time.Millisecond), false},
+		"reset at its end":            {size - 1, reset(time.Millisecond), false},
+		"reset after it":              {size, reset(time.Millisecond), false},
+		"early, rest read":            {0, halfClose(drain), true},
+		"early, rest not read":        {0, halfClose(reset(time.Millisecond)), true},
+		"early, reset behind the end": {0, halfClose(reset(0)), true},
+		"upload ending":               {size - 1, halfClose(drain), true},
+		"upload ending, closed":       {size, func(*net.TCPConn) {}, true},
+		"upload ended, half-closed":   {size, halfClose(drain), true},
+		"upload ended, closed later":  {size, func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := upstream(t, respondAfter(c.read, c.end))
