Hold that a call whose response was cut is not sent to another upstream

Cause: the test of cut responses had one upstream for calls that must not be repeated, so that a second run had nowhere to go.

Change: it has two, and counts runs. Result: one run each; 5 times of 5 with the race detector. No product code changes.

--- a/internal/request/forward/cutoff_test.go
+++ b/internal/request/forward/cutoff_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,11 +47,15 @@
 	for range rounds {
 		for _, part := range []string{"", "part"} {
 			f := newFixture(t)
-			f.startEarly(t, "u1", "desk", 0, part, resetSoon)
+			var runs atomic.Int64
+			for _, id := range []string{"u1", "u2"} {
+				f.startEarly(t, id, "desk", 0, part, func(c *net.TCPConn) { runs.Add(1); resetSoon(c) })
+			}
 			resp, body, err := f.do(t, "POST", "/bulk/1", longUpload)
 			assert.NilError(t, err)
 			assert.Equal(t, resp.StatusCode, http.StatusBadGateway, "%q", body)
 			assert.Assert(t, strings.Contains(body, "unknown"), body)
+			assert.Equal(t, runs.Load(), int64(1))
 		}
 
 		f := newFixture(t)
